--- /dev/null
+++ b/cmd/persimctl/print.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+const columnGap = 2
+
+// printer writes a result as text or as JSON.
+type printer struct {
+	out  io.Writer
+	json bool
+}
+
+func newPrinter(cmd *cli.Command) (printer, error) {
+	switch cmd.String("output") {
+	case "text":
+		return printer{out: cmd.Root().Writer}, nil
+	case "json":
+		return printer{out: cmd.Root().Writer, json: true}, nil
+	default:
+		return printer{}, usage("--output is text or json")
+	}
+}
+
+// message prints a message as JSON, or calls text.
+func (p printer) message(m proto.Message, text func(io.Writer)) error {
+	if !p.json {
+		text(p.out)
+		return nil
+	}
+	data, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = fmt.Fprintln(p.out, string(data))
+	return trace.Wrap(err)
+}
+
+// table prints rows in aligned columns.
+func table(out io.Writer, rows [][]string) {
+	w := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
+	for _, row := range rows {
+		for _, cell := range row {
+			_, _ = fmt.Fprintf(w, "%s\t", cell)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/cmd/persimmonport/serve.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"flag"
+	"net"
+	"net/http"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimkeys"
+	"persimmonport.example/persimmetric"
+	"persimmonport.example/persimmonport"
+	"persimmonport.example/persimpeer"
+	"persimmonport.example/persimplatform"
+	"persimmonport.example/persimsettings"
+	"persimmonport.example/persimupstream"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	reloadInterval = 2 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the entry host",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.IntFlag{Name: "verbose", Usage: "log up to `LEVEL`"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			setVerbosity(cmd.Int("verbose"))
+			settings, err := loadSettings(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			return serve(ctx, settings)
+		},
+	}
+}
+
+func setVerbosity(level int) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("v", strconv.Itoa(level))
+}
+
+// parts are what a host is built from.
+type parts struct {
+	host    persimmonport.Host
+	keys    persimkeys.Source
+	links   persimpeer.Links
+	cleanup []func()
+}
+
+func (p *parts) close() {
+	for i := len(p.cleanup) - 1; i >= 0; i-- {
+		p.cleanup[i]()
+	}
+}
+
+func build(settings persimsettings.Settings) (*parts, error) {
+	keys, err := persimkeys.NewSource(settings.Keys.Authority, persimkeys.HostFiles{
+		Cert: settings.Keys.Cert,
+		Key:  settings.Keys.Key,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	links, closeLinks := persimpeer.New(keys, persimpeer.WithIdle(settings.Timeouts.Peer.Std()))
+	platform, closePlatform := persimplatform.New(settings.Platform.URL,
+		persimplatform.WithCallTimeout(settings.Timeouts.Store.Std()),
+		persimplatform.WithRates(settings.Platform.Reads, settings.Platform.Writes),
+		persimplatform.WithToken(settings.Platform.Token))
+	engine, closeEngine := persimupstream.NewEngine(
+		persimupstream.WithFirstTimeout(settings.Timeouts.First.Std()),
+		persimupstream.WithSilence(settings.Timeouts.Silence.Std()))
+	service, closeService := persimupstream.NewService()
+	metrics, closeMetrics := persimmetric.New(settings.Name)
+	host, closeHost, err := persimmonport.New(settings,
+		persimmonport.WithVersion(version),
+		persimmonport.WithLinks(links),
+		persimmonport.WithPlatform(platform),
+		persimmonport.WithEngine(engine),
+		persimmonport.WithService(service),
+		persimmonport.WithMetrics(metrics))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	cleanup := []func(){closeMetrics, closeService, closeEngine, closePlatform, closeLinks, closeHost}
+	return &parts{host: host, keys: keys, links: links, cleanup: cleanup}, nil
+}
+
+func serve(ctx context.Context, settings persimsettings.Settings) error {
+	p, err := build(settings)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer p.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(terminated, p.host.Drain)
+	failed := make(chan error, 3)
+	go func() { failed <- p.links.Serve(ctx, settings.Listen.Peers, p.host.Peers()) }()
+	callers, err := listenCallers(settings)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go func() { failed <- serveHTTP(ctx, callers, p.host.Callers()) }()
+	operators, err := net.Listen("tcp", settings.Listen.Operators)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go func() { failed <- serveHTTP(ctx, operators, p.host.Operators()) }()
+	go reloadKeys(ctx, p.keys)
+	finished := make(chan error, 1)
+	go func() { finished <- p.host.Run(ctx) }()
+	klog.Infof("serve: host %s of %s is up, version %s", settings.Name, settings.Centre, version)
+	select {
+	case err := <-finished:
+		return trace.Wrap(err)
+	case err := <-failed:
+		return trace.Wrap(err)
+	}
+}
+
+func listenCallers(settings persimsettings.Settings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", settings.Listen.Callers)
+	if err != nil || settings.Callers.Cert == "" {
+		return listener, trace.Wrap(err)
+	}
+	cert, err := tls.LoadX509KeyPair(settings.Callers.Cert, settings.Callers.Key)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	config := &tls.Config{
+		MinVersion:   tls.VersionTLS12,
+		Certificates: []tls.Certificate{cert},
+		NextProtos:   []string{"h2", "http/1.1"},
+	}
+	return tls.NewListener(listener, config), nil
+}
+
+// serveHTTP serves HTTP/1 and HTTP/2, with or without encryption.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: headerTimeout, PingTimeout: headerTimeout},
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// reloadKeys follows rotated certificates.
+func reloadKeys(ctx context.Context, keys persimkeys.Source) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		changed, err := keys.Reload()
+		if err != nil {
+			klog.Errorf("keys: reload failed, the former certificates stay in force: %v", err)
+		}
+		if changed {
+			klog.Infof("keys: certificates reloaded")
+		}
+	}
+}
--- /dev/null
+++ b/identity.go
@@ -0,0 +1,53 @@
+package persimmonport
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"persimmonport.example/persimsettings"
+	"persimmonport.example/persimwire"
+)
+
+// identities maps the digests of tokens to their holders.
+type identities struct {
+	organisations map[string]string
+	operators     map[string]string
+}
+
+func newIdentities(settings persimsettings.Settings) identities {
+	ids := identities{organisations: map[string]string{}, operators: map[string]string{}}
+	for _, o := range settings.Organisations {
+		ids.organisations[strings.ToLower(o.Digest)] = o.Name
+	}
+	for _, o := range settings.Operators {
+		ids.operators[strings.ToLower(o.Digest)] = o.Name
+	}
+	return ids
+}
+
+func tokenDigest(header http.Header) string {
+	token, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func (ids identities) organisation(header http.Header) (string, *persimwire.Refusal) {
+	name, ok := ids.organisations[tokenDigest(header)]
+	if !ok {
+		return "", notRun(persimwire.Reason_REASON_UNAUTHENTICATED, "unknown token")
+	}
+	return name, nil
+}
+
+func (ids identities) operator(header http.Header) (string, *persimwire.Refusal) {
+	name, ok := ids.operators[tokenDigest(header)]
+	if !ok {
+		return "", notRun(persimwire.Reason_REASON_UNAUTHENTICATED, "unknown token")
+	}
+	return name, nil
+}
--- /dev/null
+++ b/peers.go
@@ -0,0 +1,194 @@
+package persimmonport
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"persimmonport.example/persimflight"
+	"persimmonport.example/persimmember"
+	"persimmonport.example/persimprofile"
+	"persimmonport.example/persimwire"
+)
+
+// MaxPeerMessageBytes is the largest message that a host takes from another.
+const MaxPeerMessageBytes = 8 << 20
+
+// peerService implements the interface of other entry hosts.
+type peerService struct {
+	host *host
+}
+
+func (h *host) Peers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(persimwire.NewPeerServiceHandler(peerService{h}, connect.WithReadMaxBytes(MaxPeerMessageBytes)))
+	return mux
+}
+
+func (p peerService) Exchange(_ context.Context, req *connect.Request[persimwire.ExchangeRequest]) (*connect.Response[persimwire.ExchangeResponse], error) {
+	now := time.Now()
+	msg := req.Msg
+	changed := p.host.mergeDelta(persimmember.Delta{Hosts: msg.GetHosts(), Upstreams: msg.GetUpstreams()}, now)
+	if changed {
+		p.host.spread()
+	}
+	since := now.Add(-exchangeOverlap)
+	if msg.GetFull() {
+		since = time.Time{}
+	}
+	delta := p.host.members.Since(since)
+	return connect.NewResponse(&persimwire.ExchangeResponse{
+		Hosts:      delta.Hosts,
+		Upstreams:  delta.Upstreams,
+		Digest:     delta.Digest,
+		Generation: p.host.keeper.Current().Generation(),
+	}), nil
+}
+
+func (p peerService) GetCatalogue(context.Context, *connect.Request[persimwire.GetCatalogueRequest]) (*connect.Response[persimwire.GetCatalogueResponse], error) {
+	return connect.NewResponse(&persimwire.GetCatalogueResponse{
+		Catalogue: persimprofile.ToWire(p.host.keeper.Current()),
+	}), nil
+}
+
+func (p peerService) Replicate(_ context.Context, req *connect.Request[persimwire.ReplicateRequest]) (*connect.Response[persimwire.ReplicateResponse], error) {
+	rejections := p.host.flights.Absorb(req.Msg, time.Now())
+	return connect.NewResponse(&persimwire.ReplicateResponse{Rejections: rejections}), nil
+}
+
+func (p peerService) Handover(_ context.Context, req *connect.Request[persimwire.HandoverRequest]) (*connect.Response[persimwire.HandoverResponse], error) {
+	response := &persimwire.HandoverResponse{}
+	if p.host.isDraining() {
+		return connect.NewResponse(response), nil
+	}
+	for _, state := range req.Msg.GetFlights() {
+		f, err := p.host.flights.Accept(state, time.Now())
+		if err != nil {
+			continue
+		}
+		f.SetReplica(p.host.pickReplica(req.Msg.GetFrom()))
+		p.host.continueFlight(f)
+		response.Taken = append(response.Taken, state.GetId())
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (p peerService) Locate(_ context.Context, req *connect.Request[persimwire.LocateRequest]) (*connect.Response[persimwire.LocateResponse], error) {
+	response := &persimwire.LocateResponse{}
+	f, err := p.host.flights.Get(req.Msg.GetId())
+	if err != nil || f.Organisation() != req.Msg.GetOrganisation() {
+		return connect.NewResponse(response), nil
+	}
+	role, movedTo := f.Role()
+	response.Moved = movedTo
+	response.Owner = role == persimflight.RoleOwner
+	response.Known = role != persimflight.RoleMoved
+	if response.GetKnown() {
+		response.Flight = f.State(time.Now())
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (p peerService) Follow(ctx context.Context, req *connect.Request[persimwire.FollowRequest], stream *connect.ServerStream[persimwire.StreamEvent]) error {
+	msg := req.Msg
+	f, err := p.host.flights.Get(msg.GetId())
+	if err != nil || f.Organisation() != msg.GetOrganisation() {
+		return refusalError(unknown(persimwire.Reason_REASON_NOT_FOUND, "unknown request"))
+	}
+	if role, _ := f.Role(); role != persimflight.RoleOwner {
+		if !msg.GetTake() || !p.host.takeOver(ctx, msg.GetOrganisation(), msg.GetId(), int(msg.GetOffset())) {
+			return refusalError(unknown(persimwire.Reason_REASON_NOT_FOUND, "not the owner"))
+		}
+	}
+	if err := stream.Send(&persimwire.StreamEvent{}); err != nil {
+		return err
+	}
+	refusal, err := p.host.relayOwned(ctx, f, int(msg.GetOffset()), msg.GetPrefix(), stream.Send)
+	if refusal != nil {
+		return refusalError(refusal)
+	}
+	return err
+}
+
+func (p peerService) Claim(ctx context.Context, req *connect.Request[persimwire.ClaimRequest]) (*connect.Response[persimwire.ClaimResponse], error) {
+	claims, err := p.host.ledger.Commit(ctx, req.Msg.GetSlice(), req.Msg.GetClaims())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&persimwire.ClaimResponse{Claims: claims}), nil
+}
+
+// forwarder sends claims to the preferred writer of a slice.
+type forwarder struct {
+	host *host
+}
+
+const forwardTimeout = 500 * time.Millisecond
+
+func (f forwarder) Forward(ctx context.Context, slice string, claims []*persimwire.Claim) ([]*persimwire.Claim, bool) {
+	row := persimmember.Rank(slice, f.host.members.Hosts())[0]
+	if row.GetName() == f.host.name() || row.GetState() != persimwire.HostState_HOST_STATE_LIVE {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	resp, err := f.host.links.Client(row.GetAddress()).Claim(ctx, connect.NewRequest(&persimwire.ClaimRequest{
+		Slice: slice, Claims: claims,
+	}))
+	if err != nil {
+		return nil, false
+	}
+	return resp.Msg.GetClaims(), true
+}
+
+// cancelRequest ends a request at the host that owns it.
+func (h *host) cancelRequest(ctx context.Context, organisation, id string) (bool, *persimwire.Refusal) {
+	refusal := unknown(persimwire.Reason_REASON_CANCELLED, "cancelled by the caller")
+	if f, err := h.flights.Get(id); err == nil && f.Organisation() == organisation {
+		if role, _ := f.Role(); role == persimflight.RoleOwner {
+			return f.Refuse(proto.CloneOf(refusal)), nil
+		}
+	}
+	return h.passOn(ctx, organisation, id, persimwire.PassAction_PASS_ACTION_CANCEL)
+}
+
+func (h *host) acknowledge(ctx context.Context, organisation, id string) {
+	if f, err := h.flights.Get(id); err == nil && f.Organisation() == organisation {
+		h.flights.Acknowledge(id)
+	}
+	_, _ = h.passOn(ctx, organisation, id, persimwire.PassAction_PASS_ACTION_ACKNOWLEDGE)
+}
+
+// passOn asks the hosts that may own a request to cancel or acknowledge it.
+func (h *host) passOn(ctx context.Context, organisation, id string, action persimwire.PassAction) (bool, *persimwire.Refusal) {
+	for _, row := range h.candidates(id, "") {
+		bounded, cancel := context.WithTimeout(ctx, locateTimeout)
+		resp, err := h.links.Client(row.GetAddress()).Pass(bounded, connect.NewRequest(&persimwire.PassRequest{
+			Id: id, Organisation: organisation, Action: action,
+		}))
+		cancel()
+		if err == nil && resp.Msg.GetDone() {
+			return true, nil
+		}
+	}
+	return false, unknown(persimwire.Reason_REASON_NOT_FOUND, "no host knows the request")
+}
+
+func (p peerService) Pass(_ context.Context, req *connect.Request[persimwire.PassRequest]) (*connect.Response[persimwire.PassResponse], error) {
+	response := &persimwire.PassResponse{}
+	f, err := p.host.flights.Get(req.Msg.GetId())
+	if err != nil || f.Organisation() != req.Msg.GetOrganisation() {
+		return connect.NewResponse(response), nil
+	}
+	switch req.Msg.GetAction() {
+	case persimwire.PassAction_PASS_ACTION_CANCEL:
+		response.Done = f.Refuse(unknown(persimwire.Reason_REASON_CANCELLED, "cancelled by the caller"))
+	case persimwire.PassAction_PASS_ACTION_ACKNOWLEDGE:
+		p.host.flights.Acknowledge(f.ID())
+	default:
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/persimflight/table.go
@@ -0,0 +1,402 @@
+package persimflight
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"persimmonport.example/persimwire"
+)
+
+// Defaults of a table.
+const (
+	// DefaultLimit is the number of requests and of replicas that a host holds.
+	DefaultLimit = 20000
+	// DefaultMovedFor is how long a host remembers where a request went.
+	DefaultMovedFor = 5 * time.Minute
+	// replicaGrace is added to a replica's lifetime for the owner's retention.
+	replicaGrace = 10 * time.Second
+)
+
+type config struct {
+	limit  int
+	notify func(holder string)
+}
+
+// An Option changes the configuration of a table.
+type Option func(*config)
+
+// WithLimit sets the number of requests and of replicas that a host holds.
+func WithLimit(limit int) Option { return func(c *config) { c.limit = limit } }
+
+// WithNotify sets a function that is called when there is news for the holder of
+// replicas. It must not block.
+func WithNotify(notify func(holder string)) Option {
+	return func(c *config) { c.notify = notify }
+}
+
+// A Table holds the requests of one host.
+type Table interface {
+	// Add makes the host the owner of a new request. It returns the known request
+	// and false when the host owns one with the same key, or ErrFull.
+	Add(state *persimwire.Flight, replica string) (f *Flight, fresh bool, err error)
+	// Drop forgets a request that was never accepted.
+	Drop(id string)
+	// Get returns a request, whatever the host's role, or ErrUnknown.
+	Get(id string) (*Flight, error)
+	// ByKey returns the call of an organisation with the same identity, if any.
+	ByKey(key []byte) (*Flight, bool)
+	// Collect returns what the holder of replicas named lacks.
+	Collect(holder string, now time.Time) Update
+	// Confirm records that the holder has taken an update, but for the rejections.
+	Confirm(update Update, rejections []*persimwire.Rejection, holder string)
+	// Lost records that an update may not have arrived.
+	Lost(update Update)
+	// Absorb takes an owner's update and returns the requests refused.
+	Absorb(request *persimwire.ReplicateRequest, now time.Time) []*persimwire.Rejection
+	// Accept makes the host the owner of a request handed over by another host.
+	Accept(state *persimwire.Flight, now time.Time) (*Flight, error)
+	// Take makes the host the owner of a request that it holds a replica of.
+	Take(id string) (*Flight, bool)
+	// Move ends the host's ownership of a request in favour of another host.
+	Move(id, host string)
+	// Freeze stops a request for its handover to another host and returns its
+	// exact state, or false when the host does not own it.
+	Freeze(id, host string, now time.Time) (*persimwire.Flight, bool)
+	// Thaw makes the host the owner again after a failed handover.
+	Thaw(id string) (*Flight, bool)
+	// Owned returns the requests that the host owns, finished ones included.
+	Owned() []*Flight
+	// Unprotected returns the owned requests without a replica that is alive.
+	Unprotected(alive func(host string) bool) []*Flight
+	// Acknowledge ends the retention of a finished answer.
+	Acknowledge(id string)
+	// Evict removes requests whose retention has ended.
+	Evict(now time.Time)
+	// Counts returns the numbers of owned requests and of replicas.
+	Counts() (owned, replicas int)
+}
+
+type table struct {
+	config
+	host string
+
+	mu      sync.Mutex
+	flights map[string]*Flight
+	byKey   map[string]*Flight
+
+	dirtyMu sync.Mutex
+	dirty   map[string]map[*Flight]struct{}
+}
+
+// New returns the empty table of a host.
+func New(host string, opts ...Option) Table {
+	c := config{limit: DefaultLimit, notify: func(string) {}}
+	for _, opt := range opts {
+		opt(&c)
+	}
+	return &table{
+		config:  c,
+		host:    host,
+		flights: map[string]*Flight{},
+		byKey:   map[string]*Flight{},
+		dirty:   map[string]map[*Flight]struct{}{},
+	}
+}
+
+// mark notes that a flight has news for the holder of its replica.
+func (t *table) mark(holder string, f *Flight) {
+	t.dirtyMu.Lock()
+	flights, ok := t.dirty[holder]
+	if !ok {
+		flights = map[*Flight]struct{}{}
+		t.dirty[holder] = flights
+	}
+	flights[f] = struct{}{}
+	t.dirtyMu.Unlock()
+	t.notify(holder)
+}
+
+// takeDirty removes and returns the flights with news for a holder.
+func (t *table) takeDirty(holder string) map[*Flight]struct{} {
+	t.dirtyMu.Lock()
+	defer t.dirtyMu.Unlock()
+	flights := t.dirty[holder]
+	delete(t.dirty, holder)
+	return flights
+}
+
+func (t *table) Add(state *persimwire.Flight, replica string) (*Flight, bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.flights) >= 2*t.limit {
+		return nil, false, trace.Wrap(ErrFull)
+	}
+	if known, ok := t.byKey[string(state.GetKey())]; ok {
+		if role, _ := known.Role(); role == RoleOwner {
+			return known, false, nil
+		}
+	}
+	state.Owner = t.host
+	state.Path = append(state.Path, t.host)
+	f := newFlight(state, RoleOwner, t, time.Now())
+	t.insert(f)
+	f.SetReplica(replica)
+	return f, true, nil
+}
+
+func (t *table) Drop(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f, ok := t.flights[id]; ok {
+		t.remove(id, f)
+	}
+}
+
+func (t *table) insert(f *Flight) {
+	t.flights[f.id] = f
+	if f.key != "" {
+		t.byKey[f.key] = f
+	}
+}
+
+func (t *table) Get(id string) (*Flight, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, ok := t.flights[id]
+	if !ok {
+		return nil, trace.Wrap(ErrUnknown)
+	}
+	return f, nil
+}
+
+func (t *table) ByKey(key []byte) (*Flight, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, ok := t.byKey[string(key)]
+	return f, ok
+}
+
+func (t *table) all() []*Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	flights := make([]*Flight, 0, len(t.flights))
+	for _, f := range t.flights {
+		flights = append(flights, f)
+	}
+	slices.SortFunc(flights, func(a, b *Flight) int { return cmp.Compare(a.ID(), b.ID()) })
+	return flights
+}
+
+func (t *table) Collect(holder string, now time.Time) Update {
+	update := Update{marks: map[string]mark{}}
+	for f := range t.takeDirty(holder) {
+		f.collect(&update, holder, now)
+	}
+	return update
+}
+
+func (t *table) Confirm(update Update, rejections []*persimwire.Rejection, holder string) {
+	refused := map[string]persimwire.RejectionCause{}
+	for _, r := range rejections {
+		refused[r.GetId()] = r.GetCause()
+	}
+	for id, m := range update.marks {
+		f, err := t.Get(id)
+		if err != nil {
+			continue
+		}
+		switch refused[id] {
+		case persimwire.RejectionCause_REJECTION_CAUSE_OWNED:
+			if f.Replica() == holder {
+				f.moveTo(holder)
+			}
+		case persimwire.RejectionCause_REJECTION_CAUSE_UNKNOWN:
+			f.retry(true)
+		case persimwire.RejectionCause_REJECTION_CAUSE_FULL:
+			f.SetReplica("")
+		default:
+			f.confirm(m)
+		}
+	}
+}
+
+func (t *table) Lost(update Update) {
+	for id := range update.marks {
+		if f, err := t.Get(id); err == nil {
+			f.retry(false)
+		}
+	}
+}
+
+func (t *table) Absorb(request *persimwire.ReplicateRequest, now time.Time) []*persimwire.Rejection {
+	var rejections []*persimwire.Rejection
+	reject := func(id string, cause persimwire.RejectionCause) {
+		rejections = append(rejections, &persimwire.Rejection{Id: id, Cause: cause})
+	}
+	for _, state := range request.GetFlights() {
+		if cause := t.absorbFlight(state, now); cause != persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED {
+			reject(state.GetId(), cause)
+		}
+	}
+	for _, p := range request.GetProgress() {
+		f, err := t.Get(p.GetId())
+		if err != nil {
+			reject(p.GetId(), persimwire.RejectionCause_REJECTION_CAUSE_UNKNOWN)
+			continue
+		}
+		if cause := f.absorb(p); cause != persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED {
+			reject(p.GetId(), cause)
+		}
+	}
+	for _, id := range request.GetFinished() {
+		t.Acknowledge(id)
+	}
+	return rejections
+}
+
+func (t *table) absorbFlight(state *persimwire.Flight, now time.Time) persimwire.RejectionCause {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.flights[state.GetId()]; ok {
+		if known.restate(state, now) {
+			return persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED
+		}
+		return persimwire.RejectionCause_REJECTION_CAUSE_OWNED
+	}
+	if len(t.flights) >= 2*t.limit {
+		return persimwire.RejectionCause_REJECTION_CAUSE_FULL
+	}
+	f := newFlight(proto.CloneOf(state), RoleReplica, t, now)
+	if isFinal(state.GetPhase()) {
+		f.ended = now
+	}
+	t.insert(f)
+	return persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED
+}
+
+func (t *table) Accept(state *persimwire.Flight, now time.Time) (*Flight, error) {
+	cause := t.absorbFlight(state, now)
+	if cause == persimwire.RejectionCause_REJECTION_CAUSE_FULL {
+		return nil, trace.Wrap(ErrFull)
+	}
+	f, err := t.Get(state.GetId())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if cause == persimwire.RejectionCause_REJECTION_CAUSE_OWNED {
+		return f, nil
+	}
+	f.take(t.host)
+	return f, nil
+}
+
+func (t *table) Take(id string) (*Flight, bool) {
+	f, err := t.Get(id)
+	if err != nil {
+		return nil, false
+	}
+	return f, f.take(t.host)
+}
+
+func (t *table) Move(id, host string) {
+	if f, err := t.Get(id); err == nil {
+		f.moveTo(host)
+	}
+}
+
+func (t *table) Freeze(id, host string, now time.Time) (*persimwire.Flight, bool) {
+	f, err := t.Get(id)
+	if err != nil {
+		return nil, false
+	}
+	return f.freeze(host, now)
+}
+
+func (t *table) Thaw(id string) (*Flight, bool) {
+	f, err := t.Get(id)
+	if err != nil {
+		return nil, false
+	}
+	return f, f.thaw(t.host)
+}
+
+func (t *table) Owned() []*Flight {
+	return slices.DeleteFunc(t.all(), func(f *Flight) bool {
+		role, _ := f.Role()
+		return role != RoleOwner
+	})
+}
+
+func (t *table) Unprotected(alive func(host string) bool) []*Flight {
+	return slices.DeleteFunc(t.Owned(), func(f *Flight) bool {
+		replica := f.Replica()
+		return replica != "" && alive(replica)
+	})
+}
+
+func (t *table) Acknowledge(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, ok := t.flights[id]
+	if !ok || !f.isOver() {
+		return
+	}
+	t.remove(id, f)
+}
+
+func (f *Flight) isOver() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return isFinal(f.state.GetPhase())
+}
+
+func (t *table) remove(id string, f *Flight) {
+	delete(t.flights, id)
+	if t.byKey[f.key] == f {
+		delete(t.byKey, f.key)
+	}
+}
+
+func (t *table) Evict(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, f := range t.flights {
+		if f.expired(now) {
+			t.remove(id, f)
+		}
+	}
+}
+
+func (f *Flight) expired(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	retention := f.state.GetRetention().AsDuration()
+	if f.role == RoleMoved {
+		return now.Sub(f.ended) > DefaultMovedFor
+	}
+	if f.role == RoleReplica {
+		retention += replicaGrace
+	}
+	if isFinal(f.state.GetPhase()) {
+		return now.Sub(f.ended) > retention
+	}
+	return now.Sub(f.deadline) > retention
+}
+
+func (t *table) Counts() (owned, replicas int) {
+	for _, f := range t.all() {
+		switch role, _ := f.Role(); role {
+		case RoleOwner:
+			owned++
+		case RoleReplica:
+			replicas++
+		case RoleMoved:
+		}
+	}
+	return owned, replicas
+}
--- /dev/null
+++ b/persimkeys/keys.go
@@ -0,0 +1,158 @@
+// Package persimkeys makes and loads the certificates of the links between entry hosts.
+package persimkeys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Lifetimes of certificates.
+const (
+	AuthorityLifetime = 5 * 365 * 24 * time.Hour
+	HostLifetime      = 90 * 24 * time.Hour
+	clockSkew         = time.Hour
+)
+
+const (
+	keyMode  = 0o600
+	certMode = 0o644
+	dirMode  = 0o755
+
+	serialBits = 120
+)
+
+// Names of the files that MakeAuthority and MakeHost write.
+const (
+	AuthorityCert = "ca.pem"
+	AuthorityKey  = "ca.key"
+)
+
+// A HostFiles lists the paths of one host's certificate and key.
+type HostFiles struct {
+	Cert string
+	Key  string
+}
+
+// MakeAuthority writes a new certificate authority into a folder.
+func MakeAuthority(folder string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	template, err := newTemplate("persimmonport authority", AuthorityLifetime)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := os.MkdirAll(folder, dirMode); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := writeCert(filepath.Join(folder, AuthorityCert), der); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(writeKey(filepath.Join(folder, AuthorityKey), key))
+}
+
+// MakeHost writes a certificate for a host name and its addresses, signed by the
+// authority in the same folder.
+func MakeHost(folder, host string, addresses []net.IP) (HostFiles, error) {
+	authority, signer, err := loadAuthority(folder)
+	if err != nil {
+		return HostFiles{}, trace.Wrap(err)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return HostFiles{}, trace.Wrap(err)
+	}
+	template, err := newTemplate(host, HostLifetime)
+	if err != nil {
+		return HostFiles{}, trace.Wrap(err)
+	}
+	template.DNSNames = []string{host}
+	template.IPAddresses = addresses
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, authority, key.Public(), signer)
+	if err != nil {
+		return HostFiles{}, trace.Wrap(err)
+	}
+	files := HostFiles{Cert: filepath.Join(folder, host+".pem"), Key: filepath.Join(folder, host+".key")}
+	if err := writeKey(files.Key, key); err != nil {
+		return HostFiles{}, trace.Wrap(err)
+	}
+	return files, trace.Wrap(writeCert(files.Cert, der))
+}
+
+func newTemplate(name string, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+func loadAuthority(folder string) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	cert, err := readBlock(filepath.Join(folder, AuthorityCert))
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	authority, err := x509.ParseCertificate(cert)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	der, err := readBlock(filepath.Join(folder, AuthorityKey))
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	key, err := x509.ParseECPrivateKey(der)
+	return authority, key, trace.Wrap(err)
+}
+
+func readBlock(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	block, _ := pem.Decode(data)
+	if block == nil {
+		return nil, trace.BadParameter("%s holds no PEM block", path)
+	}
+	return block.Bytes, nil
+}
+
+func writeCert(path string, der []byte) error {
+	data := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return trace.ConvertSystemError(os.WriteFile(path, data, certMode))
+}
+
+func writeKey(path string, key *ecdsa.PrivateKey) error {
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	data := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: der})
+	return trace.ConvertSystemError(os.WriteFile(path, data, keyMode))
+}
--- /dev/null
+++ b/persimmetric/metric.go
@@ -0,0 +1,95 @@
+// Package persimmetric counts and times what an entry host does.
+package persimmetric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const reportInterval = time.Second
+
+// Tags of metrics.
+const (
+	tagOrganisation = "organisation"
+	tagClass        = "class"
+	tagOutcome      = "outcome"
+	tagCause        = "cause"
+)
+
+// Metrics records the figures of one host.
+type Metrics interface {
+	// FirstToken records the time from arrival to the first token.
+	FirstToken(organisation, class string, wait time.Duration)
+	// Gap records the time between two tokens.
+	Gap(organisation, class string, gap time.Duration)
+	// Request records the end of a request.
+	Request(organisation, class, outcome string, took time.Duration)
+	// Tokens counts generated tokens of an organisation.
+	Tokens(organisation string, tokens int)
+	// Recomputed counts tokens that were computed twice, by cause.
+	Recomputed(cause string, tokens int)
+	// Count counts an event.
+	Count(name string)
+	// Gauge sets a figure.
+	Gauge(name string, value float64)
+	// Handler serves the figures in the Prometheus text format.
+	Handler() http.Handler
+}
+
+type metrics struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+// New returns the metrics of a host and their clean-up function.
+func New(host string) (Metrics, func()) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "persimmonport",
+		Tags:                   map[string]string{"host": host},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &metrics{scope: scope, reporter: reporter}, func() { _ = closer.Close() }
+}
+
+func latencyBuckets() tally.DurationBuckets {
+	return tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+}
+
+func (m *metrics) tagged(organisation, class string) tally.Scope {
+	return m.scope.Tagged(map[string]string{tagOrganisation: organisation, tagClass: class})
+}
+
+func (m *metrics) FirstToken(organisation, class string, wait time.Duration) {
+	m.tagged(organisation, class).Histogram("first_token", latencyBuckets()).RecordDuration(wait)
+}
+
+func (m *metrics) Gap(organisation, class string, gap time.Duration) {
+	m.tagged(organisation, class).Histogram("token_gap", latencyBuckets()).RecordDuration(gap)
+}
+
+func (m *metrics) Request(organisation, class, outcome string, took time.Duration) {
+	scope := m.tagged(organisation, class)
+	scope.Histogram("request", latencyBuckets()).RecordDuration(took)
+	scope.Tagged(map[string]string{tagOutcome: outcome}).Counter("requests").Inc(1)
+}
+
+func (m *metrics) Tokens(organisation string, tokens int) {
+	m.scope.Tagged(map[string]string{tagOrganisation: organisation}).Counter("tokens").Inc(int64(tokens))
+}
+
+func (m *metrics) Recomputed(cause string, tokens int) {
+	m.scope.Tagged(map[string]string{tagCause: cause}).Counter("recomputed_tokens").Inc(int64(tokens))
+}
+
+func (m *metrics) Count(name string) { m.scope.Counter(name).Inc(1) }
+
+func (m *metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+func (m *metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
--- /dev/null
+++ b/persimpolicy/baseline.go
@@ -0,0 +1,122 @@
+package persimpolicy
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"persimmonport.example/persimrouter"
+)
+
+const (
+	// BaselineTimeout is the fixed time after which the baseline gives a waiting job up.
+	BaselineTimeout = 30 * time.Second
+
+	baselineSlots = 16
+)
+
+type baselineAttempt struct {
+	address string
+}
+
+// baseline is round robin over the upstreams with one queue, no hedge and a
+// fixed timeout. It serves as the measure for other policies.
+type baseline struct {
+	upstreams []persimrouter.Upstream
+	hosts     int
+	queue     []Job
+	next      int
+	inFlight  map[string]int
+	attempts  map[string]baselineAttempt
+	sequence  uint64
+}
+
+// NewBaseline returns the round-robin policy.
+func NewBaseline() Policy {
+	return &baseline{hosts: 1, inFlight: map[string]int{}, attempts: map[string]baselineAttempt{}}
+}
+
+func (b *baseline) SetUpstreams(upstreams []persimrouter.Upstream) {
+	b.upstreams = slices.Clone(upstreams)
+}
+
+func (b *baseline) SetHosts(hosts int) { b.hosts = max(1, hosts) }
+
+func (b *baseline) Waiting() int { return len(b.queue) }
+
+func (b *baseline) Offer(_ time.Time, job Job) (Refusal, bool) {
+	b.queue = append(b.queue, job)
+	return Refusal{}, true
+}
+
+func (b *baseline) Requeue(now time.Time, job Job, _ bool) bool {
+	if now.After(job.Deadline) {
+		return false
+	}
+	b.queue = append(b.queue, job)
+	return true
+}
+
+func (b *baseline) Withdraw(id string) {
+	b.queue = slices.DeleteFunc(b.queue, func(job Job) bool { return job.ID == id })
+}
+
+func (b *baseline) Next(now time.Time) Outcome {
+	var outcome Outcome
+	b.queue = slices.DeleteFunc(b.queue, func(job Job) bool {
+		late := now.Sub(job.Arrived) > BaselineTimeout
+		if late {
+			outcome.Refused = append(outcome.Refused, Refused{Job: job.ID, Refusal: Refusal{Cause: CauseDeadline}})
+		}
+		return late
+	})
+	for len(b.queue) > 0 {
+		upstream, ok := b.choose()
+		if !ok {
+			break
+		}
+		outcome.Starts = append(outcome.Starts, b.start(upstream))
+	}
+	return outcome
+}
+
+func (b *baseline) choose() (persimrouter.Upstream, bool) {
+	limit := max(1, baselineSlots/b.hosts)
+	for range b.upstreams {
+		upstream := b.upstreams[b.next%len(b.upstreams)]
+		b.next++
+		if b.inFlight[upstream.Address] < limit {
+			return upstream, true
+		}
+	}
+	return persimrouter.Upstream{}, false
+}
+
+func (b *baseline) start(upstream persimrouter.Upstream) Dispatch {
+	job := b.queue[0]
+	b.queue = b.queue[1:]
+	b.sequence++
+	attempt := job.ID + "/" + strconv.FormatUint(b.sequence, 36)
+	b.inFlight[upstream.Address]++
+	b.attempts[attempt] = baselineAttempt{address: upstream.Address}
+	return Dispatch{Job: job.ID, Attempt: attempt, Upstream: upstream}
+}
+
+func (b *baseline) Progress(time.Time, string, int) {}
+
+func (b *baseline) End(_ time.Time, attempt string, _ Result) {
+	if a, ok := b.attempts[attempt]; ok {
+		b.inFlight[a.address]--
+		delete(b.attempts, attempt)
+	}
+}
+
+func (b *baseline) Report(time.Time, string, persimrouter.Report) {}
+
+func (b *baseline) Status(time.Time) []persimrouter.Status {
+	statuses := make([]persimrouter.Status, len(b.upstreams))
+	for i, upstream := range b.upstreams {
+		statuses[i] = persimrouter.Status{Upstream: upstream, Usable: true, InFlight: b.inFlight[upstream.Address]}
+	}
+	return statuses
+}
--- /dev/null
+++ b/persimstand/service.go
@@ -0,0 +1,108 @@
+package persimstand
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"persimmonport.example/persimupstream"
+)
+
+// A Run is one call that a service has run.
+type Run struct {
+	Method string `json:"method"`
+	Key    string `json:"key"`
+	Body   string `json:"body"`
+	Fence  uint64 `json:"fence"`
+}
+
+// A Service is a stand-in of a plain service that takes orders and answers stock questions.
+type Service struct {
+	incarnation string
+	checkFence  bool
+	faults      *faults
+
+	mu    sync.Mutex
+	runs  []Run
+	fence uint64
+}
+
+// NewService returns a service that may check fencing numbers.
+func NewService(incarnation string, checkFence bool) *Service {
+	return &Service{incarnation: incarnation, checkFence: checkFence, faults: newFaults()}
+}
+
+// SetFault replaces the fault switches.
+func (s *Service) SetFault(fault Fault) { s.faults.Set(fault) }
+
+// Runs returns the calls that have run, in their order.
+func (s *Service) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.runs...)
+}
+
+// Handler serves the service's interface and its fault switches.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /call/{method}", s.call)
+	mux.HandleFunc("GET /load", s.load)
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	mux.HandleFunc("POST /fault", s.faults.handler(func() { os.Exit(1) }))
+	return mux
+}
+
+const serviceSlots = 32
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, persimupstream.LoadReport{Slots: serviceSlots, Incarnation: s.incarnation})
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(persimupstream.HeaderIncarnation, s.incarnation)
+	if s.faults.takeRefusal() {
+		w.Header().Set(persimupstream.HeaderNotRun, "true")
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	if err != nil {
+		return
+	}
+	fence, _ := strconv.ParseUint(r.Header.Get(persimupstream.HeaderFence), 10, 64)
+	number, ok := s.record(Run{
+		Method: r.PathValue("method"),
+		Key:    r.Header.Get(persimupstream.HeaderKey),
+		Body:   string(body),
+		Fence:  fence,
+	})
+	if !ok {
+		w.Header().Set(persimupstream.HeaderNotRun, "true")
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	time.Sleep(s.faults.Get().Delay)
+	if s.faults.Get().Silent {
+		<-r.Context().Done()
+		cut()
+	}
+	if s.faults.takeLoss() {
+		cut()
+	}
+	_, _ = fmt.Fprintf(w, `{"run":%d,"method":%q}`, number, r.PathValue("method"))
+}
+
+func (s *Service) record(run Run) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.checkFence && run.Fence > 0 && run.Fence < s.fence {
+		return 0, false
+	}
+	s.fence = max(s.fence, run.Fence)
+	s.runs = append(s.runs, run)
+	return len(s.runs), true
+}
--- /dev/null
+++ b/persimupstream/engine.go
@@ -0,0 +1,245 @@
+package persimupstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"persimmonport.example/persimrouter"
+)
+
+// A CompletionRequest is the body of an engine's completion call.
+type CompletionRequest struct {
+	Stream    string `json:"request_id"`
+	Prompt    string `json:"prompt"`
+	Prior     string `json:"prior,omitempty"`
+	PriorLen  int    `json:"prior_tokens,omitempty"`
+	MaxTokens int    `json:"max_tokens"`
+	Priority  int    `json:"priority"`
+	// Timeout is the time left until the answer is of no use, in milliseconds.
+	Timeout   int64  `json:"timeout_ms,omitempty"`
+	Cache     string `json:"kv,omitempty"`
+	Streaming bool   `json:"stream"`
+}
+
+// A Chunk is one server-sent event of a completion.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Index   int      `json:"index"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// A Choice is the text of a chunk.
+type Choice struct {
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// Usage counts the tokens that an engine has computed for an attempt.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// A LoadReport is what an engine says about its load.
+type LoadReport struct {
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	Slots       int    `json:"slots"`
+	AgeMillis   int64  `json:"age_ms"`
+	Incarnation string `json:"incarnation"`
+}
+
+// A Cache is an exported key-value cache of one stream.
+type Cache struct {
+	Handle string `json:"handle"`
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"tokens"`
+}
+
+// An Emit receives the token at an index of the whole answer. An error ends the stream.
+type Emit func(index int, text string) error
+
+// An Engine sends attempts to model engines.
+type Engine interface {
+	// Generate runs a completion and emits its tokens up to the end marker. It
+	// returns ErrNotRun, ErrBroken, ErrSilent or ErrRejected.
+	Generate(ctx context.Context, address string, request CompletionRequest, emit Emit) (Usage, error)
+	// Attach continues a running stream from an index, or returns ErrGone.
+	Attach(ctx context.Context, address, stream string, from int, emit Emit) (Usage, error)
+	// Cancel ends a stream.
+	Cancel(ctx context.Context, address, stream string) error
+	// Export returns the cache of a stream.
+	Export(ctx context.Context, address, stream string) (Cache, error)
+	// Import hands a cache to an engine.
+	Import(ctx context.Context, address string, cache Cache) error
+	// Load returns what the upstream says about its load.
+	Load(ctx context.Context, address string) (LoadReport, error)
+}
+
+type engine struct {
+	config
+	http *http.Client
+}
+
+// NewEngine returns a client of model engines and its clean-up function.
+func NewEngine(opts ...Option) (Engine, func()) {
+	c := newConfig(opts)
+	transport := newTransport(c)
+	return &engine{config: c, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+}
+
+// Report returns the load report in the form of the router.
+func (l LoadReport) Report() persimrouter.Report {
+	return persimrouter.Report{
+		Running: l.Running,
+		Waiting: l.Waiting,
+		Slots:   l.Slots,
+		Age:     time.Duration(l.AgeMillis) * time.Millisecond,
+	}
+}
+
+func (e *engine) Generate(ctx context.Context, address string, request CompletionRequest, emit Emit) (Usage, error) {
+	request.Streaming = true
+	body, err := json.Marshal(request)
+	if err != nil {
+		return Usage{}, trace.Wrap(err)
+	}
+	return e.stream(ctx, http.MethodPost, "http://"+address+"/v1/completions", body, request.PriorLen, emit)
+}
+
+func (e *engine) Attach(ctx context.Context, address, stream string, from int, emit Emit) (Usage, error) {
+	target := "http://" + address + "/v1/streams/" + url.PathEscape(stream) + "?from=" + strconv.Itoa(from)
+	return e.stream(ctx, http.MethodGet, target, nil, from, emit)
+}
+
+// stream sends a request and reads its events. A watchdog ends a silent connection.
+func (e *engine) stream(ctx context.Context, method, target string, body []byte, from int, emit Emit) (Usage, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(e.first, func() { cancel(ErrSilent) })
+	defer watchdog.Stop()
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return Usage{}, trace.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return Usage{}, trace.Wrap(cause(ctx, sendError(err)))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := statusError(resp); err != nil {
+		return Usage{}, trace.Wrap(err)
+	}
+	usage, err := readEvents(resp.Body, from, func(index int, text string) error {
+		watchdog.Reset(e.silence)
+		return emit(index, text)
+	})
+	if err != nil {
+		return Usage{}, trace.Wrap(cause(ctx, err))
+	}
+	return usage, nil
+}
+
+// cause returns the reason of the watchdog or of the caller in place of a broken connection.
+func cause(ctx context.Context, err error) error {
+	if !errors.Is(err, ErrBroken) {
+		return err
+	}
+	if reason := context.Cause(ctx); reason != nil {
+		return reason
+	}
+	return err
+}
+
+// readEvents emits tokens in the order of their indices until the end marker.
+func readEvents(body io.Reader, next int, emit Emit) (Usage, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var chunk Chunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return Usage{}, ErrBroken
+		}
+		if len(chunk.Choices) != 1 || chunk.Index != next {
+			return Usage{}, ErrBroken
+		}
+		if chunk.Choices[0].FinishReason != "" {
+			return usageOf(chunk), nil
+		}
+		if err := emit(next, chunk.Choices[0].Text); err != nil {
+			return Usage{}, err
+		}
+		next++
+	}
+	return Usage{}, ErrBroken
+}
+
+func usageOf(chunk Chunk) Usage {
+	if chunk.Usage == nil {
+		return Usage{}
+	}
+	return *chunk.Usage
+}
+
+func (e *engine) Cancel(ctx context.Context, address, stream string) error {
+	return e.call(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(stream), nil, nil)
+}
+
+func (e *engine) Export(ctx context.Context, address, stream string) (Cache, error) {
+	var cache Cache
+	err := e.call(ctx, http.MethodPost, address, "/v1/kv/export/"+url.PathEscape(stream), nil, &cache)
+	return cache, trace.Wrap(err)
+}
+
+func (e *engine) Import(ctx context.Context, address string, cache Cache) error {
+	return e.call(ctx, http.MethodPost, address, "/v1/kv/import", cache, nil)
+}
+
+func (e *engine) Load(ctx context.Context, address string) (LoadReport, error) {
+	var report LoadReport
+	err := e.call(ctx, http.MethodGet, address, "/load", nil, &report)
+	return report, trace.Wrap(err)
+}
+
+func (e *engine) call(ctx context.Context, method, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, DefaultReportTimeout)
+	defer cancel()
+	payload, err := json.Marshal(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(payload))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return trace.Wrap(sendError(err))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := statusError(resp); err != nil {
+		return trace.Wrap(err)
+	}
+	if into == nil {
+		return nil
+	}
+	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into))
+}
--- /dev/null
+++ b/replicator.go
@@ -0,0 +1,130 @@
+package persimmonport
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimflight"
+	"persimmonport.example/persimmember"
+	"persimmonport.example/persimwire"
+)
+
+const (
+	replicateTimeout = time.Second
+	protectInterval  = 250 * time.Millisecond
+)
+
+// replicator sends the news of owned requests to the holders of their replicas.
+// While one message is on its way, further news gathers for the next one.
+type replicator struct {
+	host *host
+
+	mu      sync.Mutex
+	senders map[string]chan struct{}
+}
+
+func newReplicator(h *host) *replicator {
+	return &replicator{host: h, senders: map[string]chan struct{}{}}
+}
+
+// notify wakes the sender for a holder, and starts it when there is none.
+func (r *replicator) notify(holder string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kick, ok := r.senders[holder]
+	if !ok {
+		kick = make(chan struct{}, 1)
+		r.senders[holder] = kick
+		go r.send(holder, kick)
+	}
+	select {
+	case kick <- struct{}{}:
+	default:
+	}
+}
+
+func (r *replicator) send(holder string, kick chan struct{}) {
+	for {
+		select {
+		case <-r.host.work.Done():
+			return
+		case <-kick:
+		}
+		r.sendOnce(holder)
+	}
+}
+
+func (r *replicator) sendOnce(holder string) {
+	update := r.host.flights.Collect(holder, time.Now())
+	if update.Empty() {
+		return
+	}
+	rejections, err := r.replicate(holder, update)
+	if err != nil {
+		klog.Warningf("replica: host %s did not take %d updates: %v", holder, len(update.Flights)+len(update.Progress), err)
+		r.host.flights.Lost(update)
+		r.host.moveReplicas(holder)
+		return
+	}
+	r.host.flights.Confirm(update, rejections, holder)
+}
+
+func (r *replicator) replicate(holder string, update persimflight.Update) ([]*persimwire.Rejection, error) {
+	row, ok := r.host.members.Host(holder)
+	if !ok {
+		return nil, connect.NewError(connect.CodeUnavailable, errUnknownHost)
+	}
+	ctx, cancel := context.WithTimeout(r.host.work, replicateTimeout)
+	defer cancel()
+	resp, err := r.host.links.Client(row.GetAddress()).Replicate(ctx, connect.NewRequest(&persimwire.ReplicateRequest{
+		From:     r.host.name(),
+		Flights:  update.Flights,
+		Progress: update.Progress,
+	}))
+	if err != nil {
+		r.host.links.Reset(row.GetAddress())
+		return nil, err
+	}
+	return resp.Msg.GetRejections(), nil
+}
+
+// duty finds holders for requests whose holder has gone.
+func (r *replicator) duty(ctx context.Context) {
+	every(ctx, protectInterval, func(context.Context) { r.host.protectAll() })
+}
+
+// pickReplica returns the host that should hold replicas now, or an empty name.
+func (h *host) pickReplica(avoid string) string {
+	for _, row := range persimmember.ReplicaCandidates(h.members.Self(), h.members.Peers()) {
+		if row.GetName() != avoid {
+			return row.GetName()
+		}
+	}
+	return ""
+}
+
+func (h *host) canHoldReplica(name string) bool {
+	row, ok := h.members.Host(name)
+	return ok && row.GetState() == persimwire.HostState_HOST_STATE_LIVE
+}
+
+// protectAll chooses a holder for each owned request whose holder is not live.
+func (h *host) protectAll() {
+	holder := h.pickReplica("")
+	for _, f := range h.flights.Unprotected(h.canHoldReplica) {
+		f.SetReplica(holder)
+	}
+}
+
+// moveReplicas chooses another holder for the requests whose holder did not answer.
+func (h *host) moveReplicas(silent string) {
+	holder := h.pickReplica(silent)
+	alive := func(name string) bool { return name != silent }
+	for _, f := range h.flights.Unprotected(alive) {
+		f.SetReplica(holder)
+	}
+}
--- /dev/null
+++ b/runner.go
@@ -0,0 +1,458 @@
+package persimmonport
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimflight"
+	"persimmonport.example/persimpolicy"
+	"persimmonport.example/persimprofile"
+	"persimmonport.example/persimupstream"
+	"persimmonport.example/persimwire"
+)
+
+var (
+	errUnknownHost = errors.New("host is not a member")
+	errReclaimed   = errors.New("upstream is reclaimed")
+	errLost        = errors.New("another attempt was first")
+)
+
+const (
+	prefixBytes   = 256
+	bytesPerToken = 4
+	cancelTimeout = time.Second
+)
+
+// Causes of tokens that are computed twice.
+const (
+	recomputedReclaim = "reclaim"
+	recomputedRetry   = "retry"
+	recomputedHedge   = "hedge"
+)
+
+// attemptResult is how one attempt of a runner ended.
+type attemptResult struct {
+	dispatch persimpolicy.Dispatch
+	err      error
+}
+
+// runner runs one model request until it is done, refused or moved.
+type runner struct {
+	host      *host
+	flight    *persimflight.Flight
+	job       persimpolicy.Job
+	scheduler *scheduler
+	ticket    *ticket
+	results   chan attemptResult
+
+	mu      sync.Mutex
+	number  int
+	winner  string
+	cancels map[string]context.CancelCauseFunc
+	last    time.Time
+	ran     bool
+	cache   string
+}
+
+func (h *host) newJob(state *persimwire.Flight, profile persimprofile.Profile, deadline time.Time) persimpolicy.Job {
+	head := state.GetPrompt()[:min(len(state.GetPrompt()), prefixBytes)]
+	return persimpolicy.Job{
+		ID:           state.GetId(),
+		Organisation: state.GetOrganisation(),
+		Service:      state.GetService(),
+		Profile:      profile,
+		Prefix:       xxhash.Sum64String(head),
+		PromptTokens: len(state.GetPrompt()) / bytesPerToken,
+		MaxTokens:    int(state.GetMaxTokens()),
+		Done:         len(state.GetTokens()),
+		Arrived:      time.Now(),
+		Deadline:     deadline,
+	}
+}
+
+func (h *host) newRunner(f *persimflight.Flight, job persimpolicy.Job, s *scheduler, t *ticket) *runner {
+	return &runner{
+		host:      h,
+		flight:    f,
+		job:       job,
+		scheduler: s,
+		ticket:    t,
+		results:   make(chan attemptResult, ticketStarts),
+		cancels:   map[string]context.CancelCauseFunc{},
+		last:      time.Now(),
+	}
+}
+
+// continueFlight runs a request that came from another host.
+func (h *host) continueFlight(f *persimflight.Flight) {
+	state := f.State(time.Now())
+	if state.GetKind() != persimwire.FlightKind_FLIGHT_KIND_MODEL || isOver(state.GetPhase()) {
+		return
+	}
+	service, profile, ok := h.keeper.Current().Service(state.GetService())
+	if !ok {
+		f.Refuse(unknown(persimwire.Reason_REASON_NOT_FOUND, "the service is no longer configured"))
+		return
+	}
+	s := h.schedulers.get(service.Group)
+	job := h.newJob(state, profile, f.Deadline())
+	r := h.newRunner(f, job, s, s.adopt(job))
+	r.number = int(state.GetAttempt())
+	r.ran = state.GetUpstream() != ""
+	go r.continueFrom(state)
+}
+
+func isOver(phase persimwire.Phase) bool {
+	return phase == persimwire.Phase_PHASE_DONE || phase == persimwire.Phase_PHASE_FAILED
+}
+
+// continueFrom attaches to the engine's stream where it still runs, else starts
+// another attempt from the released tokens.
+func (r *runner) continueFrom(state *persimwire.Flight) {
+	ctx, cancel := r.context()
+	defer cancel()
+	if state.GetStream() != "" && r.attach(ctx, state) {
+		r.scheduler.close(r.job.ID)
+		return
+	}
+	if r.requeue(true, recomputedReclaim, nil) {
+		r.run()
+		return
+	}
+	r.scheduler.close(r.job.ID)
+	r.refuse(persimwire.Reason_REASON_DEADLINE, "the deadline passed during the handover")
+}
+
+// attach continues a running stream of an engine and reports whether it reached the end.
+func (r *runner) attach(ctx context.Context, state *persimwire.Flight) bool {
+	number := r.nextNumber()
+	if !r.flight.Begin(number, state.GetUpstream(), state.GetStream()) {
+		return true
+	}
+	ctx, unwatch := r.host.watchers.watch(ctx, state.GetUpstream())
+	defer unwatch()
+	from := len(state.GetTokens())
+	emitted := from
+	_, err := r.host.engine.Attach(ctx, state.GetUpstream(), state.GetStream(), from, func(index int, text string) error {
+		if !r.flight.Append(number, index, text) {
+			return errLost
+		}
+		emitted = index + 1
+		r.account()
+		return nil
+	})
+	if err == nil {
+		return r.flight.Finish(number, emitted)
+	}
+	return errors.Is(err, errLost)
+}
+
+func (r *runner) nextNumber() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.number++
+	return r.number
+}
+
+// context ends at the deadline or when the host no longer owns the request.
+func (r *runner) context() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(r.host.work, r.flight.Deadline())
+	stopped := r.flight.Stopped()
+	go func() {
+		select {
+		case <-stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// run starts the attempts that the policy decides on and handles their ends.
+func (r *runner) run() {
+	ctx, cancel := r.context()
+	defer cancel()
+	defer r.scheduler.close(r.job.ID)
+	running := 0
+	for {
+		select {
+		case d := <-r.ticket.starts:
+			running++
+			go r.attempt(ctx, d)
+		case refusal := <-r.ticket.refused:
+			if running == 0 {
+				r.refuseBy(refusal)
+				return
+			}
+		case result := <-r.results:
+			running--
+			if r.handle(result, running) {
+				r.cancelAll(errLost)
+				r.drainResults(running)
+				return
+			}
+		case <-ctx.Done():
+			r.cancelAll(ctx.Err())
+			r.drainResults(running)
+			r.refuse(persimwire.Reason_REASON_DEADLINE, "the caller's patience has ended")
+			return
+		}
+	}
+}
+
+func (r *runner) drainResults(running int) {
+	for range running {
+		result := <-r.results
+		r.scheduler.end(result.dispatch.Attempt, persimpolicy.ResultCancelled)
+	}
+}
+
+func (r *runner) cancelAll(cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, cancel := range r.cancels {
+		cancel(cause)
+	}
+}
+
+// handle records the end of an attempt and reports whether the request is over.
+func (r *runner) handle(result attemptResult, running int) bool {
+	attempt := result.dispatch.Attempt
+	switch {
+	case result.err == nil:
+		r.scheduler.end(attempt, persimpolicy.ResultDone)
+		return true
+	case errors.Is(result.err, errLost):
+		r.scheduler.end(attempt, persimpolicy.ResultCancelled)
+		return false
+	case errors.Is(result.err, errReclaimed):
+		r.scheduler.end(attempt, persimpolicy.ResultCancelled)
+		return running == 0 && !r.retry(result, true)
+	case errors.Is(result.err, persimupstream.ErrRejected):
+		r.scheduler.end(attempt, persimpolicy.ResultCancelled)
+		r.refuse(persimwire.Reason_REASON_INVALID, "the engine rejected the request")
+		return true
+	default:
+		r.scheduler.end(attempt, persimpolicy.ResultFailed)
+		return running == 0 && !r.retry(result, false)
+	}
+}
+
+// retry queues another attempt; it refuses the request and reports false when there is none.
+func (r *runner) retry(result attemptResult, forced bool) bool {
+	address := result.dispatch.Upstream.Address
+	klog.V(1).Infof("runner: attempt %s on %s ended: %v", result.dispatch.Attempt, address, result.err)
+	cause := recomputedRetry
+	if forced {
+		cause = recomputedReclaim
+		r.exportCache(result.dispatch)
+	}
+	if r.attempts() >= r.job.Profile.MaxAttempts && !forced {
+		r.refuse(persimwire.Reason_REASON_UPSTREAM, "no attempts are left")
+		return false
+	}
+	if r.requeue(forced, cause, []string{address}) {
+		return true
+	}
+	r.refuse(persimwire.Reason_REASON_UPSTREAM, "the upstream failed and no retry is possible")
+	return false
+}
+
+func (r *runner) attempts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.number
+}
+
+func (r *runner) requeue(forced bool, cause string, avoid []string) bool {
+	state := r.flight.State(time.Now())
+	r.mu.Lock()
+	r.winner = ""
+	cache := r.cache
+	r.mu.Unlock()
+	r.job = r.job.WithDone(len(state.GetTokens())).WithAvoid(avoid...)
+	if cache == "" && r.ran {
+		r.host.metrics.Recomputed(cause, r.job.PromptTokens+r.job.Done)
+	}
+	return r.scheduler.requeue(r.job, forced)
+}
+
+// exportCache fetches the cache of a reclaimed stream for the next attempt.
+func (r *runner) exportCache(d persimpolicy.Dispatch) {
+	ctx, cancel := context.WithTimeout(r.host.work, cancelTimeout)
+	defer cancel()
+	cache, err := r.host.engine.Export(ctx, d.Upstream.Address, streamName(d))
+	if err != nil {
+		return
+	}
+	r.host.watchers.keepCache(r.job.ID, cache)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cache = cache.Handle
+}
+
+func streamName(d persimpolicy.Dispatch) string {
+	return strings.ReplaceAll(d.Attempt, "/", "-")
+}
+
+// attempt runs one attempt and reports its end.
+func (r *runner) attempt(ctx context.Context, d persimpolicy.Dispatch) {
+	ctx, unwatch := r.host.watchers.watch(ctx, d.Upstream.Address)
+	defer unwatch()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.mu.Lock()
+	r.cancels[d.Attempt] = cancel
+	r.mu.Unlock()
+	err := r.generate(ctx, d)
+	if err != nil && context.Cause(ctx) != nil {
+		err = context.Cause(ctx)
+	}
+	r.mu.Lock()
+	delete(r.cancels, d.Attempt)
+	if !errors.Is(err, persimupstream.ErrNotRun) {
+		r.ran = true
+	}
+	r.mu.Unlock()
+	if err != nil && !errors.Is(err, errReclaimed) && r.isOwner() {
+		r.cancelStream(d)
+	}
+	r.results <- attemptResult{dispatch: d, err: err}
+}
+
+// isOwner reports whether the request has not moved; the next owner attaches to
+// the stream of a moved request.
+func (r *runner) isOwner() bool {
+	role, _ := r.flight.Role()
+	return role == persimflight.RoleOwner
+}
+
+func (r *runner) generate(ctx context.Context, d persimpolicy.Dispatch) error {
+	state := r.flight.State(time.Now())
+	prior := len(state.GetTokens())
+	number := r.nextNumber()
+	request := persimupstream.CompletionRequest{
+		Stream:    streamName(d),
+		Prompt:    state.GetPrompt(),
+		Prior:     strings.Join(state.GetTokens(), ""),
+		PriorLen:  prior,
+		MaxTokens: int(state.GetMaxTokens()),
+		Priority:  d.Priority,
+		Timeout:   time.Until(r.flight.Deadline()).Milliseconds(),
+		Cache:     r.importCache(ctx, d.Upstream.Address),
+	}
+	emitted := prior
+	_, err := r.host.engine.Generate(ctx, d.Upstream.Address, request, func(index int, text string) error {
+		if index == prior && !r.win(d, number) {
+			return errLost
+		}
+		if !r.flight.Append(number, index, text) {
+			return errLost
+		}
+		emitted = index + 1
+		r.scheduler.progress(d.Attempt)
+		r.account()
+		return nil
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if emitted == prior && !r.win(d, number) {
+		return errLost
+	}
+	if !r.flight.Finish(number, emitted) {
+		return errLost
+	}
+	return nil
+}
+
+// importCache hands a kept cache to the engine and returns its handle.
+func (r *runner) importCache(ctx context.Context, address string) string {
+	cache, ok := r.host.watchers.takeCache(r.job.ID)
+	if !ok {
+		return ""
+	}
+	if err := r.host.engine.Import(ctx, address, cache); err != nil {
+		klog.V(1).Infof("runner: %s did not take the cache of %s: %v", address, r.job.ID, err)
+		return ""
+	}
+	return cache.Handle
+}
+
+// win makes an attempt the one whose tokens count and cancels the others.
+func (r *runner) win(d persimpolicy.Dispatch, number int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.winner != "" {
+		return false
+	}
+	if !r.flight.Begin(number, d.Upstream.Address, streamName(d)) {
+		return false
+	}
+	r.winner = d.Attempt
+	for _, attempt := range r.others(d.Attempt) {
+		r.cancels[attempt](errLost)
+		r.host.metrics.Recomputed(recomputedHedge, r.job.PromptTokens)
+	}
+	return true
+}
+
+func (r *runner) others(winner string) []string {
+	var names []string
+	for name := range r.cancels {
+		if name != winner {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// account records the time since the last token.
+func (r *runner) account() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	class := string(r.job.Profile.Class)
+	if r.last.Equal(r.job.Arrived) || r.last.Before(r.job.Arrived) {
+		r.host.metrics.FirstToken(r.job.Organisation, class, now.Sub(r.job.Arrived))
+	} else {
+		r.host.metrics.Gap(r.job.Organisation, class, now.Sub(r.last))
+	}
+	r.last = now
+	r.host.metrics.Tokens(r.job.Organisation, 1)
+}
+
+func (r *runner) cancelStream(d persimpolicy.Dispatch) {
+	ctx, cancel := context.WithTimeout(r.host.work, cancelTimeout)
+	defer cancel()
+	_ = r.host.engine.Cancel(ctx, d.Upstream.Address, streamName(d))
+}
+
+func (r *runner) refuseBy(refusal persimpolicy.Refusal) {
+	wire := policyRefusal(refusal)
+	if r.ran {
+		wire.Outcome = persimwire.Outcome_OUTCOME_UNKNOWN
+	}
+	r.flight.Refuse(wire)
+}
+
+// refuse ends the request; it says "not run" only if no attempt may have run.
+func (r *runner) refuse(reason persimwire.Reason, message string) {
+	r.mu.Lock()
+	ran := r.ran
+	r.mu.Unlock()
+	if ran {
+		r.flight.Refuse(unknown(reason, message))
+		return
+	}
+	r.flight.Refuse(notRun(reason, message))
+}
