--- a/callers.go
+++ b/callers.go
@@ -19,6 +19,9 @@
 	maxIDBytes     = 256
 	maxNameBytes   = 64
 	protectTimeout = 5 * time.Second
+	// unprotectedBound is how lately a host must have reached the platform to
+	// accept a request of which no other host holds a replica.
+	unprotectedBound = 2500 * time.Millisecond
 )
 
 // callerService implements the interface of callers.
@@ -125,8 +128,8 @@
 
 // acceptModel admits a model request and starts it.
 func (h *host) acceptModel(ctx context.Context, organisation string, msg *persimwire.GenerateRequest) (*persimwire.Accepted, *persimwire.Refusal) {
-	if h.refusing.Load() {
-		return nil, notRun(persimwire.Reason_REASON_DRAINING, "the host is shutting down")
+	if refusal := h.checkOpen(); refusal != nil {
+		return nil, refusal
 	}
 	service, profile, refusal := h.checkModel(msg)
 	if refusal != nil {
@@ -169,7 +172,7 @@
 	defer cancel()
 	f.SetReplica(hostsOf(f.ID())[1])
 	replicated := f.Await(protect)
-	if !replicated && profile.ReplicaRequired {
+	if !replicated && (profile.ReplicaRequired || h.pickReplica("") != "" || !h.sawStoreWithin(unprotectedBound)) {
 		s.close(job.ID)
 		h.flights.Drop(f.ID())
 		return nil, notRun(persimwire.Reason_REASON_UNREPLICATED, "no other host holds a replica")
@@ -178,6 +181,17 @@
 	return &persimwire.Accepted{Id: f.ID(), Replicated: replicated}, nil
 }
 
+// checkOpen refuses new requests of a host that is leaving or isolated.
+func (h *host) checkOpen() *persimwire.Refusal {
+	if h.refusing.Load() {
+		return notRun(persimwire.Reason_REASON_DRAINING, "the host is shutting down; ask another")
+	}
+	if !h.isCurrent() {
+		return notRun(persimwire.Reason_REASON_ISOLATED, "the host reaches neither the platform nor the others; ask another")
+	}
+	return nil
+}
+
 func (h *host) checkModel(msg *persimwire.GenerateRequest) (persimprofile.Service, persimprofile.Profile, *persimwire.Refusal) {
 	service, profile, refusal := h.checkService(msg.GetService())
 	switch {
--- a/calls.go
+++ b/calls.go
@@ -21,6 +21,9 @@
 
 const (
 	settleWait   = 500 * time.Millisecond
+	lookupWait   = 2 * time.Second
+	// freshKey is the age up to which a key counts as sent for the first time.
+	freshKey = 2 * time.Second
 	pollInterval = 50 * time.Millisecond
 )
 
@@ -53,9 +56,6 @@
 }
 
 func (h *host) call(ctx context.Context, organisation string, msg *persimwire.CallRequest) (*persimwire.CallResponse, *persimwire.Refusal) {
-	if h.refusing.Load() {
-		return nil, notRun(persimwire.Reason_REASON_DRAINING, "the host is shutting down")
-	}
 	h.calls.Add(1)
 	defer h.calls.Add(-1)
 	service, profile, refusal := h.checkCall(msg)
@@ -68,19 +68,65 @@
 	}
 	deadline := time.Now().Add(patienceOf(msg.GetPatience(), profile))
 	state := c.state(organisation, profile, deadline)
-	f, fresh, err := h.flights.Add(state, "")
-	if err != nil {
-		return nil, withRetryAfter(notRun(persimwire.Reason_REASON_OVERLOADED, "too many requests in progress"), time.Second)
+	f, fresh, refusal := c.begin(state, service, profile, deadline)
+	if refusal != nil {
+		return c.verified(ctx, organisation, refusal)
 	}
 	if !fresh {
 		return h.joinCall(ctx, f, c.claim)
 	}
+	go c.run()
+	return h.awaitCall(ctx, f, &c.duplicate)
+}
+
+// begin queues a call, or returns the call with the same key that this host runs.
+func (c *caller) begin(state *persimwire.Flight, service persimprofile.Service, profile persimprofile.Profile, deadline time.Time) (*persimflight.Flight, bool, *persimwire.Refusal) {
+	if refusal := c.host.checkOpen(); refusal != nil {
+		return nil, false, refusal
+	}
+	f, fresh, err := c.host.flights.Add(state, "")
+	if err != nil {
+		return nil, false, withRetryAfter(notRun(persimwire.Reason_REASON_OVERLOADED, "too many requests in progress"), time.Second)
+	}
+	if !fresh {
+		return f, false, nil
+	}
 	if refusal := c.admit(f, state, service, profile, deadline); refusal != nil {
-		h.flights.Drop(f.ID())
+		c.host.flights.Drop(f.ID())
+		return nil, false, refusal
+	}
+	return f, true, nil
+}
+
+// mayRepeat reports whether the key may have been sent before.
+func (c *caller) mayRepeat() bool {
+	return c.once && (c.message.GetRepeated() || time.Since(c.claim.Issued) > freshKey)
+}
+
+// verified returns a refusal that says "not run" only if no earlier request with
+// the same key can have run; otherwise the answer to that request.
+func (c *caller) verified(ctx context.Context, organisation string, refusal *persimwire.Refusal) (*persimwire.CallResponse, *persimwire.Refusal) {
+	if !c.mayRepeat() || refusal.GetOutcome() != persimwire.Outcome_OUTCOME_NOT_RUN {
 		return nil, refusal
 	}
-	go c.run()
-	return h.awaitCall(ctx, f, &c.duplicate)
+	inForce, found, err := c.host.ledger.Lookup(ctx, c.claim)
+	switch {
+	case err != nil:
+		refusal.Outcome = persimwire.Outcome_OUTCOME_UNKNOWN
+		return nil, refusal
+	case !found || inForce.Token == c.claim.Token:
+		return nil, refusal
+	case !inForce.SameBody(c.claim):
+		return nil, notRun(persimwire.Reason_REASON_KEY, "the key was used with another body")
+	}
+	state, ok := c.host.awaitElsewhere(ctx, organisation, inForce.ID)
+	if !ok {
+		return nil, claimOutcome(inForce.State)
+	}
+	if state.GetPhase() != persimwire.Phase_PHASE_DONE {
+		return nil, cloneRefusal(state.GetRefusal())
+	}
+	return &persimwire.CallResponse{Id: state.GetId(), Body: state.GetAnswer(), Duplicate: true}, nil
 }
 
 func (h *host) checkCall(msg *persimwire.CallRequest) (persimprofile.Service, persimprofile.Profile, *persimwire.Refusal) {
@@ -219,11 +265,19 @@
 func (c *caller) refuseNotRun(refusal *persimwire.Refusal) {
 	if c.claimed {
 		c.host.ledger.Settle(c.claim.WithState(persimledger.StateNotRun))
+		c.flight.Refuse(refusal)
+		return
 	}
-	c.flight.Refuse(refusal)
-	if !c.claimed {
-		c.host.flights.Drop(c.flight.ID())
+	defer c.host.flights.Drop(c.flight.ID())
+	ctx, cancel := context.WithTimeout(c.host.work, lookupWait)
+	defer cancel()
+	response, refusal := c.verified(ctx, c.job.Organisation, refusal)
+	if refusal != nil {
+		c.flight.Refuse(refusal)
+		return
 	}
+	c.duplicate.Store(true)
+	c.flight.Answer(response.GetBody())
 }
 
 // attempt makes one attempt and reports whether the call is over.
--- a/duties.go
+++ b/duties.go
@@ -61,6 +61,11 @@
 // sawStore notes a successful call of the platform.
 func (h *host) sawStore() { h.storeAt.Store(int64(time.Since(h.epoch))) }
 
+func (h *host) sawStoreWithin(bound time.Duration) bool {
+	at := time.Duration(h.storeAt.Load())
+	return at > 0 && time.Since(h.epoch)-at <= bound
+}
+
 func (h *host) sawPeers() { h.peersAt.Store(int64(time.Since(h.epoch))) }
 
 // catalogueDuty reads the catalogue at an interval, which also covers a silent watch.
@@ -167,10 +172,15 @@
 
 func (h *host) takeNotice(notice persimplatform.Notice) {
 	if notice.Address == h.settings.Listen.Callers {
-		klog.Infof("drain: the platform takes this host back in %s", notice.Remaining)
+		if !h.isDraining() {
+			klog.Infof("drain: the platform takes this host back in %s", notice.Remaining)
+		}
 		h.Drain()
 		return
 	}
+	if h.isEntryHost(notice.Address) {
+		return
+	}
 	if h.members.Leave(notice.Address, notice.Incarnation, time.Now()) {
 		klog.Infof("upstream: %s is reclaimed", notice.Address)
 		h.left(notice.Address)
@@ -178,6 +188,15 @@
 	}
 }
 
+func (h *host) isEntryHost(address string) bool {
+	for _, row := range h.members.Hosts() {
+		if row.GetCallerAddress() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // left moves work away from an upstream that is leaving.
 func (h *host) left(address string) {
 	h.schedulers.update()
@@ -242,7 +261,7 @@
 			return
 		}
 		if err := h.ledger.Prune(ctx, time.Now()); err != nil {
-			klog.Warningf("ledger: pruning failed: %v", err)
+			klog.V(1).Infof("ledger: pruning failed: %v", err)
 		}
 	})
 }
--- a/host.go
+++ b/host.go
@@ -101,7 +101,6 @@
 	refusing  atomic.Bool
 	relays    atomic.Int64
 	calls     atomic.Int64
-	started   atomic.Bool
 	storeAt   atomic.Int64
 	peersAt   atomic.Int64
 	epoch     time.Time
--- /dev/null
+++ b/path_test.go
@@ -0,0 +1,23 @@
+package persimmonport
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonport.example/persimstand"
+)
+
+func TestModelRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, defaultShape())
+		defer d.close()
+		d.awaitReady()
+		r := d.read(0, "match len=50", time.Minute)
+		require.True(t, r.whole())
+		require.Equal(t, persimstand.Answer("match len=50", 50), r.text.String())
+		require.Zero(t, r.resumes)
+	})
+}
--- a/persimledger/claim.go
+++ b/persimledger/claim.go
@@ -12,8 +12,8 @@
 	"fmt"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/google/uuid"
+	"github.com/gravitational/trace"
 
 	"persimmonport.example/persimwire"
 )
--- a/persimledger/ledger.go
+++ b/persimledger/ledger.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"persimmonport.example/persimplatform"
 	"persimmonport.example/persimwire"
@@ -43,6 +45,9 @@
 	// only if the claim in force is granted to it. It returns ErrUnclaimed,
 	// ErrExpired, ErrFuture or ErrFull; after each of them the claimant must not send.
 	Claim(ctx context.Context, claim Claim) (Claim, error)
+	// Lookup reads the claim in force for the key and reports whether there is one.
+	// It returns ErrExpired, or ErrUnclaimed when the platform did not answer.
+	Lookup(ctx context.Context, claim Claim) (Claim, bool, error)
 	// Settle records the outcome of a granted claim, without waiting for the platform.
 	Settle(claim Claim)
 	// Commit commits claims of one slice for another host.
@@ -131,7 +136,7 @@
 	if claim.Issued.After(now.Add(l.skew)) {
 		return Claim{}, trace.Wrap(ErrFuture)
 	}
-	op := newOperation(ToWire(claim), ctx)
+	op := newOperation(ctx, ToWire(claim))
 	if err := l.enqueue(claim.slice(l.slices, l.span), op); err != nil {
 		return Claim{}, trace.Wrap(err)
 	}
@@ -143,6 +148,45 @@
 	return l.verdict(claim, result)
 }
 
+func (l *ledger) Lookup(ctx context.Context, claim Claim) (Claim, bool, error) {
+	if claim.Issued.Before(time.Now().Add(-l.retention)) {
+		return Claim{}, false, trace.Wrap(ErrExpired)
+	}
+	_, slice, err := l.read(ctx, claim.slice(l.slices, l.span))
+	if err != nil {
+		return Claim{}, false, trace.Wrap(ErrUnclaimed)
+	}
+	if slice.GetClosed() {
+		return Claim{}, false, trace.Wrap(ErrExpired)
+	}
+	known := find(slice, claim.Key[:])
+	if known == nil {
+		return Claim{}, false, nil
+	}
+	inForce := FromWire(known)
+	inForce.Issued = claim.Issued
+	return inForce, true, nil
+}
+
+// read returns the stored slice; a slice that is not yet stored is empty.
+func (l *ledger) read(ctx context.Context, name string) (persimplatform.Object, *persimwire.Slice, error) {
+	ctx, cancel := context.WithTimeout(ctx, persimplatform.DefaultCallTimeout)
+	defer cancel()
+	l.counts.reads.Add(1)
+	object, err := l.store.Get(ctx, name)
+	if errors.Is(err, persimplatform.ErrNotFound) {
+		return persimplatform.Object{Name: name}, &persimwire.Slice{}, nil
+	}
+	if err != nil {
+		return object, nil, trace.Wrap(err)
+	}
+	slice := &persimwire.Slice{}
+	if err := proto.Unmarshal(object.Value, slice); err != nil {
+		return object, nil, trace.BadParameter("slice %s: %v", name, err)
+	}
+	return object, slice, nil
+}
+
 func (l *ledger) verdict(claim Claim, result result) (Claim, error) {
 	if result.closed {
 		return Claim{}, trace.Wrap(ErrExpired)
@@ -154,7 +198,7 @@
 
 func (l *ledger) Settle(claim Claim) {
 	ctx, cancel := context.WithTimeout(l.ctx, settleTimeout)
-	op := newOperation(ToWire(claim), ctx)
+	op := newOperation(ctx, ToWire(claim))
 	op.settle = true
 	op.cancel = cancel
 	if err := l.enqueue(claim.slice(l.slices, l.span), op); err != nil {
@@ -165,7 +209,7 @@
 func (l *ledger) Commit(ctx context.Context, slice string, claims []*persimwire.Claim) ([]*persimwire.Claim, error) {
 	ops := make([]*operation, len(claims))
 	for i, claim := range claims {
-		ops[i] = newOperation(claim, ctx)
+		ops[i] = newOperation(ctx, claim)
 		ops[i].local = true
 		if err := l.enqueue(slice, ops[i]); err != nil {
 			return nil, trace.Wrap(err)
--- a/persimledger/writer.go
+++ b/persimledger/writer.go
@@ -44,7 +44,7 @@
 	done   chan result
 }
 
-func newOperation(claim *persimwire.Claim, ctx context.Context) *operation {
+func newOperation(ctx context.Context, claim *persimwire.Claim) *operation {
 	return &operation{claim: claim, ctx: ctx, cancel: func() {}, done: make(chan result, 1)}
 }
 
@@ -221,24 +221,12 @@
 }
 
 func (w *writer) load() error {
-	ctx, cancel := context.WithTimeout(w.ledger.ctx, persimplatform.DefaultCallTimeout)
-	defer cancel()
-	w.ledger.counts.reads.Add(1)
-	object, err := w.ledger.store.Get(ctx, w.slice)
-	if errors.Is(err, persimplatform.ErrNotFound) {
-		w.object = persimplatform.Object{Name: w.slice}
-		w.cached = &persimwire.Slice{}
-		return nil
-	}
+	object, slice, err := w.ledger.read(w.ledger.ctx, w.slice)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	var slice persimwire.Slice
-	if err := proto.Unmarshal(object.Value, &slice); err != nil {
-		return trace.BadParameter("slice %s: %v", w.slice, err)
-	}
 	w.object = object
-	w.cached = &slice
+	w.cached = slice
 	return nil
 }
 
--- a/persimmetric/metric.go
+++ b/persimmetric/metric.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -46,7 +47,8 @@
 
 // New returns the metrics of a host and their clean-up function.
 func New(host string) (Metrics, func()) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "persimmonport",
 		Tags:                   map[string]string{"host": host},
--- a/persimplatform/client.go
+++ b/persimplatform/client.go
@@ -22,6 +22,8 @@
 	DefaultReadsPerSecond = 100
 	DefaultWritesPerSec   = 40
 	burstSeconds          = 2
+	idleConnections       = 8
+	idleTimeout           = 30 * time.Second
 	maxResponseBytes      = 4 << 20
 )
 
@@ -30,6 +32,7 @@
 	reads       rate.Limit
 	writes      rate.Limit
 	token       string
+	transport   http.RoundTripper
 }
 
 // An Option changes the configuration of a client.
@@ -53,6 +56,11 @@
 	return func(c *config) { c.token = token }
 }
 
+// WithTransport replaces the HTTP transport.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(c *config) { c.transport = transport }
+}
+
 // A Platform is a Store and a Cloud.
 type Platform interface {
 	Store
@@ -77,20 +85,26 @@
 	for _, opt := range opts {
 		opt(&c)
 	}
-	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: c.callTimeout}).DialContext,
-		MaxIdleConnsPerHost:   8,
-		IdleConnTimeout:       30 * time.Second,
-		ResponseHeaderTimeout: c.callTimeout,
-	}
 	p := &client{
 		config:  c,
 		base:    base,
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: c.roundTripper()},
 		readBy:  rate.NewLimiter(c.reads, burst(c.reads)),
 		writeBy: rate.NewLimiter(c.writes, burst(c.writes)),
 	}
-	return p, transport.CloseIdleConnections
+	return p, p.http.CloseIdleConnections
+}
+
+func (c config) roundTripper() http.RoundTripper {
+	if c.transport != nil {
+		return c.transport
+	}
+	return &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: c.callTimeout}).DialContext,
+		MaxIdleConnsPerHost:   idleConnections,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: c.callTimeout,
+	}
 }
 
 func burst(limit rate.Limit) int {
--- a/persimrouter/upstream.go
+++ b/persimrouter/upstream.go
@@ -48,7 +48,6 @@
 	ejectedAt  time.Time
 	ejected    bool
 	probing    string
-	expected   time.Duration
 	failures   int
 	lastFailed time.Time
 }
--- a/persimupstream/engine.go
+++ b/persimupstream/engine.go
@@ -97,8 +97,8 @@
 // NewEngine returns a client of model engines and its clean-up function.
 func NewEngine(opts ...Option) (Engine, func()) {
 	c := newConfig(opts)
-	transport := newTransport(c)
-	return &engine{config: c, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	client, cleanup := newClient(c)
+	return &engine{config: c, http: client}, cleanup
 }
 
 // Report returns the load report in the form of the router.
--- a/persimupstream/service.go
+++ b/persimupstream/service.go
@@ -34,8 +34,8 @@
 
 // NewService returns a client of plain services and its clean-up function.
 func NewService(opts ...Option) (Service, func()) {
-	transport := newTransport(newConfig(opts))
-	return &service{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	client, cleanup := newClient(newConfig(opts))
+	return &service{http: client}, cleanup
 }
 
 func (s *service) Do(ctx context.Context, address string, call Call) ([]byte, error) {
--- a/persimupstream/upstream.go
+++ b/persimupstream/upstream.go
@@ -47,10 +47,10 @@
 )
 
 type config struct {
-	dial    time.Duration
-	first   time.Duration
-	silence time.Duration
-	fence   uint64
+	dial      time.Duration
+	first     time.Duration
+	silence   time.Duration
+	transport http.RoundTripper
 }
 
 // An Option changes the configuration of a client.
@@ -65,6 +65,11 @@
 // WithSilence bounds the time between two tokens of an attempt.
 func WithSilence(silence time.Duration) Option { return func(c *config) { c.silence = silence } }
 
+// WithTransport replaces the HTTP transport.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(c *config) { c.transport = transport }
+}
+
 func newConfig(opts []Option) config {
 	c := config{dial: DefaultDialTimeout, first: DefaultFirstTimeout, silence: DefaultSilence}
 	for _, opt := range opts {
@@ -73,13 +78,18 @@
 	return c
 }
 
-func newTransport(c config) *http.Transport {
-	return &http.Transport{
+// newClient returns an HTTP client and its clean-up function.
+func newClient(c config) (*http.Client, func()) {
+	if c.transport != nil {
+		return &http.Client{Transport: c.transport}, func() {}
+	}
+	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: c.dial}).DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
+	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
 
 // sendError turns a failure to send into the layer's errors.
--- a/relay.go
+++ b/relay.go
@@ -22,11 +22,17 @@
 	locatePatience = 15 * time.Second
 	// maxLocate bounds the hosts that are asked for one request.
 	maxLocate = 16
+	// isolationCheck is how long a stream may rest before the host checks whether
+	// it is isolated.
+	isolationCheck = 2 * time.Second
 )
 
 // send passes one event to the caller.
 type send func(*persimwire.StreamEvent) error
 
+// errIsolated reports that this host makes no progress because it reaches nobody.
+var errIsolated = errors.New("host is isolated")
+
 // errEnded reports that the stream has come to its end marker.
 var errEnded = errors.New("stream has ended")
 
@@ -60,11 +66,13 @@
 		case refusal != nil:
 			refusal.Id = request.GetId()
 			return refusal
+		case errors.Is(err, errIsolated):
+			sendMoved(out, request.GetId(), offset)
+			return nil
 		case ctx.Err() != nil:
 			return unknown(persimwire.Reason_REASON_CANCELLED, "the caller has left")
 		case h.isClosed():
-			moved := &persimwire.Moved{Id: request.GetId(), Offset: int64(offset)}
-			_ = out(&persimwire.StreamEvent{Event: &persimwire.StreamEvent_Moved{Moved: moved}})
+			sendMoved(out, request.GetId(), offset)
 			return nil
 		}
 		if offset > before {
@@ -77,6 +85,12 @@
 	}
 }
 
+// sendMoved tells the caller to resume at another host.
+func sendMoved(out send, id string, offset int) {
+	moved := &persimwire.Moved{Id: id, Offset: int64(offset)}
+	_ = out(&persimwire.StreamEvent{Event: &persimwire.StreamEvent_Moved{Moved: moved}})
+}
+
 func (h *host) isClosed() bool {
 	select {
 	case <-h.closed:
@@ -137,6 +151,10 @@
 			return nil, ctx.Err()
 		case <-h.closed:
 			return nil, nil
+		case <-time.After(isolationCheck):
+			if !h.isCurrent() {
+				return nil, errIsolated
+			}
 		}
 	}
 }
--- a/runner.go
+++ b/runner.go
@@ -29,6 +29,7 @@
 	prefixBytes   = 256
 	bytesPerToken = 4
 	cancelTimeout = time.Second
+	retryPause    = 250 * time.Millisecond
 )
 
 // Causes of tokens that are computed twice.
@@ -59,7 +60,9 @@
 	cancels map[string]context.CancelCauseFunc
 	last    time.Time
 	ran     bool
-	cache   string
+	// spared is the number of attempts that have provably not run.
+	spared int
+	cache  string
 }
 
 func (h *host) newJob(state *persimwire.Flight, profile persimprofile.Profile, deadline time.Time) persimpolicy.Job {
@@ -255,6 +258,9 @@
 		cause = recomputedReclaim
 		r.exportCache(result.dispatch)
 	}
+	if errors.Is(result.err, persimupstream.ErrNotRun) {
+		r.returnAttempt()
+	}
 	if r.attempts() >= r.job.Profile.MaxAttempts && !forced {
 		r.refuse(persimwire.Reason_REASON_UPSTREAM, "no attempts are left")
 		return false
@@ -262,14 +268,38 @@
 	if r.requeue(forced, cause, []string{address}) {
 		return true
 	}
-	r.refuse(persimwire.Reason_REASON_UPSTREAM, "the upstream failed and no retry is possible")
-	return false
+	if time.Until(r.flight.Deadline()) < retryPause {
+		r.refuse(persimwire.Reason_REASON_UPSTREAM, "the upstream failed and no time is left")
+		return false
+	}
+	r.requeueLater(cause, []string{address})
+	return true
+}
+
+// requeueLater queues another attempt once the retry budget permits it. An
+// accepted request waits for the budget within its deadline.
+func (r *runner) requeueLater(cause string, avoid []string) {
+	time.AfterFunc(retryPause, func() {
+		role, _ := r.flight.Role()
+		late := time.Now().After(r.flight.Deadline())
+		if late || role != persimflight.RoleOwner || r.requeue(false, cause, avoid) {
+			return
+		}
+		r.requeueLater(cause, avoid)
+	})
+}
+
+// returnAttempt takes back the number of an attempt that has not run.
+func (r *runner) returnAttempt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spared++
 }
 
 func (r *runner) attempts() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.number
+	return r.number - r.spared
 }
 
 func (r *runner) requeue(forced bool, cause string, avoid []string) bool {
