Keep a request where it is when a caller leaves

Cause: a caller that left while another host relayed its stream cancelled the question whether the owner still answers; the relaying host took the silence for the owner's and took the request over. Two silent engines then made a request wander between three hosts (41 s in place of 13 s). Ruled out: the avoid list, hedges, the retry budget (traced per attempt). Before: TestResumeElsewhereDoesNotMoveTheRequest fails; after: passes, and the longest pause with two silent engines is below the bound of 15 s.

--- a/calls.go
+++ b/calls.go
@@ -50,6 +50,9 @@
 	once      bool
 	// mayRepeat is set when the key may have been sent before.
 	mayRepeat bool
+	arrived   time.Time
+	// retention is how long the other hosts remember a finished call.
+	retention time.Duration
 	claim     persimledger.Claim
 	claimed   bool
 	tries     int
@@ -64,7 +67,13 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	c := &caller{host: h, message: msg, once: service.RunsOnce(msg.GetMethod())}
+	c := &caller{
+		host:      h,
+		message:   msg,
+		once:      service.RunsOnce(msg.GetMethod()),
+		arrived:   time.Now(),
+		retention: profile.Retention.Std(),
+	}
 	if refusal := c.identify(organisation); refusal != nil {
 		return nil, refusal
 	}
@@ -100,30 +109,51 @@
 	return f, true, nil
 }
 
-// verified returns a refusal that says "not run" only if no earlier request with
+// verified returns a refusal that says "not run" only if no other request with
 // the same key can have run; otherwise the answer to that request.
 func (c *caller) verified(ctx context.Context, organisation string, refusal *persimwire.Refusal) (*persimwire.CallResponse, *persimwire.Refusal) {
-	if !c.mayRepeat || refusal.GetOutcome() != persimwire.Outcome_OUTCOME_NOT_RUN {
+	fresh := !c.mayRepeat && time.Since(c.arrived) <= freshKey
+	if !c.once || fresh || refusal.GetOutcome() != persimwire.Outcome_OUTCOME_NOT_RUN {
 		return nil, refusal
 	}
 	inForce, found, err := c.host.ledger.Lookup(ctx, c.claim)
 	switch {
 	case err != nil:
-		refusal.Outcome = persimwire.Outcome_OUTCOME_UNKNOWN
-		return nil, refusal
+		return c.verifiedByPeers(ctx, organisation, refusal)
 	case !found || inForce.Token == c.claim.Token:
 		return nil, refusal
 	case !inForce.SameBody(c.claim):
 		return nil, notRun(persimwire.Reason_REASON_KEY, "the key was used with another body")
 	}
-	state, ok := c.host.awaitElsewhere(ctx, organisation, inForce.ID)
-	if !ok {
-		return nil, claimOutcome(inForce.State)
+	return c.answerOf(ctx, organisation, inForce.ID, claimOutcome(inForce.State))
+}
+
+// verifiedByPeers asks the other hosts in place of the ledger. Their memory covers
+// a key that was new when it came to this host.
+func (c *caller) verifiedByPeers(ctx context.Context, organisation string, refusal *persimwire.Refusal) (*persimwire.CallResponse, *persimwire.Refusal) {
+	id, all := c.host.findKey(ctx, c.claim.Key[:], c.claim.ID)
+	if id != "" {
+		return c.answerOf(ctx, organisation, id, unknown(refusal.GetReason(), refusal.GetMessage()))
+	}
+	forgotten := time.Since(c.arrived) > c.retention
+	if c.mayRepeat || forgotten || !all || !c.host.isCurrent() {
+		refusal.Outcome = persimwire.Outcome_OUTCOME_UNKNOWN
 	}
-	if state.GetPhase() != persimwire.Phase_PHASE_DONE {
+	return nil, refusal
+}
+
+// answerOf returns the answer of another request with the same key, or a refusal
+// when no host holds it.
+func (c *caller) answerOf(ctx context.Context, organisation, id string, otherwise *persimwire.Refusal) (*persimwire.CallResponse, *persimwire.Refusal) {
+	state, ok := c.host.awaitElsewhere(ctx, organisation, id)
+	switch {
+	case !ok:
+		return nil, otherwise
+	case state.GetPhase() != persimwire.Phase_PHASE_DONE:
 		return nil, cloneRefusal(state.GetRefusal())
+	default:
+		return &persimwire.CallResponse{Id: state.GetId(), Body: state.GetAnswer(), Duplicate: true}, nil
 	}
-	return &persimwire.CallResponse{Id: state.GetId(), Body: state.GetAnswer(), Duplicate: true}, nil
 }
 
 func (h *host) checkCall(msg *persimwire.CallRequest) (persimprofile.Service, persimprofile.Profile, *persimwire.Refusal) {
--- a/faults_test.go
+++ b/faults_test.go
@@ -1,6 +1,7 @@
 package persimmonport
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"k8s.io/klog/v2"
 
 	"persimmonport.example/persimstand"
 )
@@ -233,6 +235,9 @@
 
 // TestMain prints the table of all faults last.
 func TestMain(m *testing.M) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("v", os.Getenv("PERSIM_LOG"))
 	code := m.Run()
 	printReports()
 	os.Exit(code)
--- a/leaving_test.go
+++ b/leaving_test.go
@@ -189,3 +189,29 @@
 	}
 	require.Equal(t, sent, streams, "streams that the engines have run")
 }
+
+// TestExportedCacheIsNotComputedAgain reclaims an engine that can export its
+// caches; its streams go on elsewhere without any prompt being computed twice.
+func TestExportedCacheIsNotComputedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, defaultShape())
+		defer d.close()
+		d.awaitReady()
+		results := make(chan *reading, 9)
+		for i := range cap(results) {
+			go func() { results <- d.read(i, fmt.Sprintf("match %d len=300", i), time.Minute) }()
+		}
+		time.Sleep(time.Second)
+		d.reclaimUpstream(engineAddress(0), 4*time.Second)
+		for range cap(results) {
+			require.True(t, (<-results).whole())
+		}
+		prefilled := 0
+		for _, engine := range d.engines {
+			prefilled += engine.Stats().Prefilled
+		}
+		promptWords := 3
+		require.Equal(t, cap(results)*promptWords, prefilled)
+		require.Equal(t, cap(results)*300, d.generated())
+	})
+}
--- a/outage_test.go
+++ b/outage_test.go
@@ -69,6 +69,7 @@
 				for range cap(results) {
 					r := <-results
 					require.True(t, r.whole())
+					require.EqualValues(t, 150, r.tokens)
 					require.LessOrEqual(t, r.longest, 15*time.Second)
 				}
 			})
@@ -155,3 +156,39 @@
 	require.True(t, ok, "%v", err)
 	require.Equal(t, reason, refusal.GetReason())
 }
+
+// TestResumeElsewhereDoesNotMoveTheRequest reads a stalled stream through all hosts
+// in turn, each time leaving before anything comes.
+func TestResumeElsewhereDoesNotMoveTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, defaultShape())
+		defer d.close()
+		d.awaitReady()
+		done := make(chan *reading, 1)
+		go func() { done <- d.read(0, "match len=100", time.Minute) }()
+		time.Sleep(time.Second)
+		owned := d.entries[0].host.flights.Owned()
+		require.Len(t, owned, 1)
+		for _, engine := range d.engines {
+			engine.SetFault(persimstand.Fault{Silent: true})
+		}
+		for i := range 6 {
+			ctx, cancel := context.WithTimeout(d.root, time.Duration(100+150*i)*time.Millisecond)
+			again := &reading{id: owned[0].ID(), tokens: 10}
+			stream, err := d.client(d.entries[1+i%2]).Resume(ctx, withToken(testToken, &persimwire.ResumeRequest{Id: again.id, Offset: 10}))
+			require.NoError(t, err)
+			for stream.Receive() {
+				again.take(stream.Msg())
+			}
+			cancel()
+			time.Sleep(200 * time.Millisecond)
+		}
+		status, err := d.client(d.entries[2]).Status(d.root, withToken(testToken, &persimwire.StatusRequest{Id: owned[0].ID()}))
+		require.NoError(t, err)
+		require.Equal(t, []string{"entry-0"}, status.Msg.GetPath())
+		for _, engine := range d.engines {
+			engine.SetFault(persimstand.Fault{})
+		}
+		require.True(t, (<-done).whole())
+	})
+}
--- a/peers.go
+++ b/peers.go
@@ -121,6 +121,49 @@
 	return connect.NewResponse(&persimwire.ClaimResponse{Claims: claims}), nil
 }
 
+func (p peerService) FindKey(_ context.Context, req *connect.Request[persimwire.FindKeyRequest]) (*connect.Response[persimwire.FindKeyResponse], error) {
+	response := &persimwire.FindKeyResponse{}
+	if f, ok := p.host.flights.FindKey(req.Msg.GetKey(), req.Msg.GetExcept()); ok {
+		response.Id = f.ID()
+	}
+	return connect.NewResponse(response), nil
+}
+
+// findKey asks all other hosts for a call with a key. It reports false when not
+// every one has answered.
+func (h *host) findKey(ctx context.Context, key []byte, except string) (id string, all bool) {
+	peers := h.members.Peers()
+	if len(peers) > maxLocate {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	type answer struct {
+		id  string
+		err error
+	}
+	answers := make(chan answer, len(peers))
+	for _, row := range peers {
+		go func() {
+			resp, err := h.links.Client(row.GetAddress()).FindKey(ctx, connect.NewRequest(&persimwire.FindKeyRequest{Key: key, Except: except}))
+			if err != nil {
+				answers <- answer{err: err}
+				return
+			}
+			answers <- answer{id: resp.Msg.GetId()}
+		}()
+	}
+	all = true
+	for range peers {
+		a := <-answers
+		all = all && a.err == nil
+		if a.id != "" {
+			id = a.id
+		}
+	}
+	return id, all
+}
+
 // forwarder sends claims to the preferred writer of a slice.
 type forwarder struct {
 	host *host
--- a/persimpeer/peer_test.go
+++ b/persimpeer/peer_test.go
@@ -93,6 +93,17 @@
 		require.Error(t, exchange(t, links, address, "entry-2"))
 		require.Empty(t, calls)
 	})
+	t.Run("foreign certificate", func(t *testing.T) {
+		other := newAuthority(t)
+		files, err := persimkeys.MakeHost(other, "entry-4", []net.IP{net.IPv4(127, 0, 0, 1)})
+		require.NoError(t, err)
+		source, err := persimkeys.NewSource(filepath.Join(folder, persimkeys.AuthorityCert), files)
+		require.NoError(t, err)
+		links, cleanup := New(source)
+		defer cleanup()
+		require.Error(t, exchange(t, links, address, "entry-4"))
+		require.Empty(t, calls)
+	})
 	t.Run("oversized message", func(t *testing.T) {
 		links, cleanup := New(newSource(t, folder, "entry-3"))
 		defer cleanup()
--- a/persimstand/engine.go
+++ b/persimstand/engine.go
@@ -135,6 +135,15 @@
 	read    time.Time
 }
 
+func (s *stream) isStopped() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *stream) stop() { s.stopOnce.Do(func() { close(s.stopped) }) }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
@@ -192,12 +201,10 @@
 	e.sleep(time.Duration(e.prefill(s)) * e.config.Prefill)
 	length := answerLength(s.request)
 	for index := s.request.PriorLen; index < length; index++ {
-		select {
-		case <-s.stopped:
+		e.sleep(e.gap())
+		if s.isStopped() {
 			return
-		default:
 		}
-		e.sleep(e.gap())
 		s.append(e.token(s.request.Prompt, index))
 		e.countToken()
 		if s.abandoned() {
--- a/persimwire/peer.connect.go
+++ b/persimwire/peer.connect.go
@@ -48,6 +48,8 @@
 	PeerServiceLocateProcedure = "/persim.v1.PeerService/Locate"
 	// PeerServiceClaimProcedure is the fully-qualified name of the PeerService's Claim RPC.
 	PeerServiceClaimProcedure = "/persim.v1.PeerService/Claim"
+	// PeerServiceFindKeyProcedure is the fully-qualified name of the PeerService's FindKey RPC.
+	PeerServiceFindKeyProcedure = "/persim.v1.PeerService/FindKey"
 	// PeerServicePassProcedure is the fully-qualified name of the PeerService's Pass RPC.
 	PeerServicePassProcedure = "/persim.v1.PeerService/Pass"
 )
@@ -68,6 +70,8 @@
 	Locate(context.Context, *connect.Request[LocateRequest]) (*connect.Response[LocateResponse], error)
 	// Claim commits claims for other hosts.
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
+	// FindKey reports whether the host knows a call with a key.
+	FindKey(context.Context, *connect.Request[FindKeyRequest]) (*connect.Response[FindKeyResponse], error)
 	// Pass performs an action of a caller on a request that the host owns.
 	Pass(context.Context, *connect.Request[PassRequest]) (*connect.Response[PassResponse], error)
 }
@@ -125,6 +129,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Claim")),
 			connect.WithClientOptions(opts...),
 		),
+		findKey: connect.NewClient[FindKeyRequest, FindKeyResponse](
+			httpClient,
+			baseURL+PeerServiceFindKeyProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FindKey")),
+			connect.WithClientOptions(opts...),
+		),
 		pass: connect.NewClient[PassRequest, PassResponse](
 			httpClient,
 			baseURL+PeerServicePassProcedure,
@@ -143,6 +153,7 @@
 	follow       *connect.Client[FollowRequest, StreamEvent]
 	locate       *connect.Client[LocateRequest, LocateResponse]
 	claim        *connect.Client[ClaimRequest, ClaimResponse]
+	findKey      *connect.Client[FindKeyRequest, FindKeyResponse]
 	pass         *connect.Client[PassRequest, PassResponse]
 }
 
@@ -181,6 +192,11 @@
 	return c.claim.CallUnary(ctx, req)
 }
 
+// FindKey calls persim.v1.PeerService.FindKey.
+func (c *peerServiceClient) FindKey(ctx context.Context, req *connect.Request[FindKeyRequest]) (*connect.Response[FindKeyResponse], error) {
+	return c.findKey.CallUnary(ctx, req)
+}
+
 // Pass calls persim.v1.PeerService.Pass.
 func (c *peerServiceClient) Pass(ctx context.Context, req *connect.Request[PassRequest]) (*connect.Response[PassResponse], error) {
 	return c.pass.CallUnary(ctx, req)
@@ -202,6 +218,8 @@
 	Locate(context.Context, *connect.Request[LocateRequest]) (*connect.Response[LocateResponse], error)
 	// Claim commits claims for other hosts.
 	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimResponse], error)
+	// FindKey reports whether the host knows a call with a key.
+	FindKey(context.Context, *connect.Request[FindKeyRequest]) (*connect.Response[FindKeyResponse], error)
 	// Pass performs an action of a caller on a request that the host owns.
 	Pass(context.Context, *connect.Request[PassRequest]) (*connect.Response[PassResponse], error)
 }
@@ -255,6 +273,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Claim")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFindKeyHandler := connect.NewUnaryHandler(
+		PeerServiceFindKeyProcedure,
+		svc.FindKey,
+		connect.WithSchema(peerServiceMethods.ByName("FindKey")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServicePassHandler := connect.NewUnaryHandler(
 		PeerServicePassProcedure,
 		svc.Pass,
@@ -277,6 +301,8 @@
 			peerServiceLocateHandler.ServeHTTP(w, r)
 		case PeerServiceClaimProcedure:
 			peerServiceClaimHandler.ServeHTTP(w, r)
+		case PeerServiceFindKeyProcedure:
+			peerServiceFindKeyHandler.ServeHTTP(w, r)
 		case PeerServicePassProcedure:
 			peerServicePassHandler.ServeHTTP(w, r)
 		default:
@@ -316,6 +342,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("persim.v1.PeerService.Claim is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) FindKey(context.Context, *connect.Request[FindKeyRequest]) (*connect.Response[FindKeyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("persim.v1.PeerService.FindKey is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Pass(context.Context, *connect.Request[PassRequest]) (*connect.Response[PassResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("persim.v1.PeerService.Pass is not implemented"))
 }
--- a/profiles_test.go
+++ b/profiles_test.go
@@ -102,6 +102,7 @@
 				f.before(d)
 				resp, err := d.change(d.entries[0], base, "change-1", 33*time.Second)
 				require.NoError(t, err)
+				require.False(t, resp.GetConflict())
 				require.Equal(t, base+1, resp.GetGeneration())
 				accepted := time.Now()
 				f.after(d)
@@ -217,3 +218,25 @@
 		require.True(t, d.await(10*time.Second, d.entries[0].host.ready))
 	})
 }
+
+// TestChangeOfALostHostIsInForce covers a change whose host ends before it can tell
+// the others, while the watches are silent.
+func TestChangeOfALostHostIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, defaultShape())
+		defer d.close()
+		d.awaitReady()
+		d.platform.SetFault(persimstand.Fault{Silent: true})
+		current := d.entries[0].host.keeper.Current()
+		profile := persimprofile.DefaultProfile().WithName("short").WithPatience(33 * time.Second)
+		next, err := current.WithProfile(profile, persimprofile.Change{ID: "lost"})
+		require.NoError(t, err)
+		value, err := persimprofile.Marshal(next)
+		require.NoError(t, err)
+		object, ok := d.platform.Lookup(persimprofile.ObjectName)
+		require.True(t, ok)
+		_, ok = d.platform.Store(object.WithValue(value))
+		require.True(t, ok)
+		require.True(t, d.await(forceBound, func() bool { return d.allInForce(next.Generation()) }))
+	})
+}
--- a/relay.go
+++ b/relay.go
@@ -184,6 +184,9 @@
 			return nil, nil
 		}
 		for _, row := range rows {
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			refusal, err := h.follow(ctx, row, organisation, id, offset, prefix, take, out)
 			if !isUnknown(refusal, err) {
 				return refusal, err
@@ -279,7 +282,7 @@
 		return role == persimflight.RoleOwner
 	}
 	state := f.State(time.Now())
-	if offset > len(state.GetTokens()) || h.ownerAnswers(ctx, state) {
+	if offset > len(state.GetTokens()) || h.ownerAnswers(ctx, state) || ctx.Err() != nil {
 		return false
 	}
 	taken, ok := h.flights.Take(id)
--- a/runner.go
+++ b/runner.go
@@ -55,6 +55,8 @@
 	results   chan attemptResult
 	// avoided lists the upstreams on which attempts have failed.
 	avoided []string
+	// tries counts the attempts that may have run, without hedges.
+	tries int
 
 	mu      sync.Mutex
 	number  int
@@ -62,9 +64,7 @@
 	cancels map[string]context.CancelCauseFunc
 	last    time.Time
 	ran     bool
-	// spared is the number of attempts that have provably not run.
-	spared int
-	cache  string
+	cache   string
 }
 
 func (h *host) newJob(state *persimwire.Flight, profile persimprofile.Profile, deadline time.Time) persimpolicy.Job {
@@ -191,6 +191,9 @@
 		select {
 		case d := <-r.ticket.starts:
 			running++
+			if !d.Hedge {
+				r.tries++
+			}
 			go r.attempt(ctx, d)
 		case refusal := <-r.ticket.refused:
 			if running == 0 {
@@ -261,9 +264,9 @@
 		r.exportCache(result.dispatch)
 	}
 	if errors.Is(result.err, persimupstream.ErrNotRun) {
-		r.returnAttempt()
+		r.tries--
 	}
-	if r.attempts() >= r.job.Profile.MaxAttempts && !forced {
+	if r.tries >= r.job.Profile.MaxAttempts && !forced {
 		r.refuse(persimwire.Reason_REASON_UPSTREAM, "no attempts are left")
 		return false
 	}
@@ -303,19 +306,6 @@
 	})
 }
 
-// returnAttempt takes back the number of an attempt that has not run.
-func (r *runner) returnAttempt() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.spared++
-}
-
-func (r *runner) attempts() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.number - r.spared
-}
-
 func (r *runner) requeue(forced bool, cause string) bool {
 	state := r.flight.State(time.Now())
 	r.mu.Lock()
@@ -329,11 +319,13 @@
 	return r.scheduler.requeue(r.job, forced)
 }
 
-// exportCache fetches the cache of a reclaimed stream for the next attempt.
+// exportCache fetches the cache of a reclaimed stream for the next attempt and
+// ends the stream.
 func (r *runner) exportCache(d persimpolicy.Dispatch) {
 	ctx, cancel := context.WithTimeout(r.host.work, cancelTimeout)
 	defer cancel()
 	cache, err := r.host.engine.Export(ctx, d.Upstream.Address, streamName(d))
+	r.cancelStream(d)
 	if err != nil {
 		return
 	}
