--- a/cmd/persimmonport/process_test.go
+++ b/cmd/persimmonport/process_test.go
@@ -200,8 +200,10 @@
 
 // generate reads a stream with persimctl, which resumes it at the other hosts.
 func (s *system) generate(host int, prompt string) *exec.Cmd {
-	args := []string{"--callers", "http://" + s.settings[host].Listen.Callers, "--token", token,
-		"generate", "--service", "match", "--prompt", prompt}
+	args := []string{
+		"--callers", "http://" + s.settings[host].Listen.Callers, "--token", token,
+		"generate", "--service", "match", "--prompt", prompt,
+	}
 	for i := range s.settings {
 		if i != host {
 			args = append(args, "--other", "http://"+s.settings[i].Listen.Callers)
@@ -262,7 +264,7 @@
 	second := s.order(1, key)
 	time.Sleep(8 * time.Second)
 	s.signal(0, syscall.SIGCONT)
-	<-first
+	_ = <-first
 	time.Sleep(2 * time.Second)
 	require.LessOrEqual(t, s.runs(key), 1)
 	if second == nil {
--- a/persimpolicy/adaptive.go
+++ b/persimpolicy/adaptive.go
@@ -16,15 +16,14 @@
 	// StragglerRatio is how many times its expected length an answer has when it is a straggler.
 	StragglerRatio = 4.0
 
-	prioritySpan   = 100
-	hedgeAfter     = 3.0
-	minHedgeWait   = 50 * time.Millisecond
-	minRetryAfter  = 100 * time.Millisecond
-	maxRetryAfter  = 30 * time.Second
-	firstWeight    = 0.05
-	fairBacklog    = 2 * time.Second
-	queuePerSlot   = 64
-	minQueueLength = 256
+	prioritySpan  = 100
+	hedgeAfter    = 3.0
+	minHedgeWait  = 50 * time.Millisecond
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	firstWeight   = 0.05
+	// minFirst is the least time to a first token beyond the prompt's computation.
+	minFirst = 10 * time.Millisecond
 )
 
 type config struct {
@@ -65,8 +64,9 @@
 	attempts  map[string]*running
 	order     []string
 	sequence  uint64
-	first     float64
-	pending   []Refused
+	// first is the mean time to the first token beyond the prompt's computation, in seconds.
+	first   float64
+	pending []Refused
 }
 
 // New returns the adaptive policy of one group of upstreams.
@@ -205,6 +205,9 @@
 			break
 		}
 		outcome.Starts = append(outcome.Starts, dispatch)
+		if probe, ok := a.startProbe(now, dispatch.Attempt); ok {
+			outcome.Starts = append(outcome.Starts, probe)
+		}
 	}
 	outcome.Starts = append(outcome.Starts, a.startHedges(now)...)
 	return outcome
@@ -275,6 +278,21 @@
 	return int(prioritySpan / (2 + job.Profile.WaitWeight))
 }
 
+// startProbe starts a second attempt of a job on an ejected upstream that may
+// have recovered.
+func (a *adaptive) startProbe(now time.Time, attempt string) (Dispatch, bool) {
+	r := a.attempts[attempt]
+	if r.job.Unrepeatable || r.long || r.job.Profile.HedgeShare == 0 {
+		return Dispatch{}, false
+	}
+	upstream, ok := a.router.Probe(now, r.need)
+	if !ok || !a.hedges.Withdraw(now) {
+		return Dispatch{}, false
+	}
+	r.hedged = true
+	return a.start(now, r.job, r.need, upstream, true), true
+}
+
 // startHedges starts second attempts of jobs that wait much longer than usual
 // for their first token.
 func (a *adaptive) startHedges(now time.Time) []Dispatch {
@@ -305,8 +323,8 @@
 		return false
 	}
 	patience := hedgeAfter * (1 + r.job.Profile.CostWeight/(1+r.job.Profile.WaitWeight))
-	usual := time.Duration(a.first * patience * float64(time.Second))
-	return now.Sub(r.started) > max(usual, minHedgeWait)
+	usual := r.need.Prefill + time.Duration(a.first*float64(time.Second))
+	return now.Sub(r.started) > max(time.Duration(patience*float64(usual)), minHedgeWait)
 }
 
 func (a *adaptive) Progress(now time.Time, attempt string, tokens int) {
@@ -318,7 +336,7 @@
 	r.tokens += tokens
 	a.router.Progress(now, attempt, r.address, tokens, first)
 	if first {
-		wait := now.Sub(r.started).Seconds()
+		wait := max(0, now.Sub(r.started)-r.need.Prefill).Seconds() + minFirst.Seconds()
 		if a.first == 0 {
 			a.first = wait
 		}
--- a/persimpolicy/baseline.go
+++ b/persimpolicy/baseline.go
@@ -63,13 +63,10 @@
 
 func (b *baseline) Next(now time.Time) Outcome {
 	var outcome Outcome
-	b.queue = slices.DeleteFunc(b.queue, func(job Job) bool {
-		late := now.Sub(job.Arrived) > BaselineTimeout
-		if late {
-			outcome.Refused = append(outcome.Refused, Refused{Job: job.ID, Refusal: Refusal{Cause: CauseDeadline}})
-		}
-		return late
-	})
+	for len(b.queue) > 0 && now.Sub(b.queue[0].Arrived) > BaselineTimeout {
+		outcome.Refused = append(outcome.Refused, Refused{Job: b.queue[0].ID, Refusal: Refusal{Cause: CauseDeadline}})
+		b.queue = b.queue[1:]
+	}
 	for len(b.queue) > 0 {
 		upstream, ok := b.choose()
 		if !ok {
--- a/persimrouter/ejection.go
+++ b/persimrouter/ejection.go
@@ -10,13 +10,11 @@
 func (r *router) Observe(now time.Time) {
 	median := r.medianGap(now)
 	firstMedian := r.median(now, func(s *state) float64 { return s.first.fresh(now) })
-	r.readmit(now, median)
+	r.readmitUnprobed(now)
 	suspects := r.suspects(now, median, firstMedian)
 	allowed := int(r.ejectable*float64(len(r.order))) - r.countEjected()
 	for _, s := range suspects[:min(len(suspects), max(0, allowed))] {
-		s.ejected = true
-		s.ejectedAt = now
-		s.probing = ""
+		s.eject(now, r.probation)
 	}
 }
 
@@ -30,19 +28,23 @@
 	return count
 }
 
-// readmit returns upstreams whose probe ran at the speed of the group.
-func (r *router) readmit(now time.Time, median float64) {
+// readmitUnprobed returns upstreams that no job could probe for a long time.
+func (r *router) readmitUnprobed(now time.Time) {
 	for _, s := range r.order {
-		if !s.ejected || s.failures > 0 {
-			continue
+		if s.ejected && s.probes == 0 && s.own == 0 && now.Sub(s.ejectedAt) > longestProbeWait {
+			s.readmit()
 		}
-		probed := s.gap.at.After(s.ejectedAt)
-		fast := s.gap.fresh(now) <= r.slowRatio/2*median
-		forgotten := s.gap.fresh(now) == 0 && s.own == 0
-		if probed && fast || forgotten {
-			s.ejected = false
+	}
+}
+
+func (r *router) Probe(now time.Time, need Need) (Upstream, bool) {
+	for _, s := range r.order {
+		due := s.ejected && s.probing == "" && !now.Before(s.probeAt)
+		if due && s.own < s.slots() && !slices.Contains(need.Avoid, s.Address) {
+			return s.Upstream, true
 		}
 	}
+	return Upstream{}, false
 }
 
 func (r *router) suspects(now time.Time, median, firstMedian float64) []*state {
--- a/persimrouter/router.go
+++ b/persimrouter/router.go
@@ -21,7 +21,8 @@
 	minSilence     = time.Second
 	minSamples     = 2
 	failuresToDrop = 3
-	slowPenalty    = 1.0
+	// choices is the number of upstreams that are compared for one attempt.
+	choices = 3
 )
 
 type config struct {
@@ -82,6 +83,9 @@
 	SetHosts(hosts int)
 	// Choose returns the best upstream for an attempt, or false when none has room.
 	Choose(now time.Time, need Need) (Upstream, bool)
+	// Probe returns an ejected upstream that is due for a second attempt of a job
+	// that runs elsewhere. If the second attempt is first, the upstream is readmitted.
+	Probe(now time.Time, need Need) (Upstream, bool)
 	// Start counts an attempt as sent.
 	Start(now time.Time, need Need, address string)
 	// Progress records tokens of an attempt; the first ones record the time to the first token.
@@ -116,6 +120,7 @@
 	order   []*state
 	needs   map[string]Need
 	started map[string]time.Time
+	scratch []*state
 }
 
 // New returns a router without upstreams.
@@ -193,39 +198,71 @@
 	return max(1, int(share+0.5))
 }
 
-func (r *router) hasRoom(s *state, need Need, median float64, now time.Time) bool {
+// hasRoom reports whether the upstream has room for an attempt of this host: its
+// share of the slots and, when borrowing, its share of those that a late report
+// shows as free.
+func (r *router) hasRoom(s *state, need Need, median float64, borrow bool, now time.Time) bool {
 	if s.ejected {
-		return s.probing == "" && now.Sub(s.ejectedAt) >= r.probation && !need.Long
+		return false
 	}
-	free := float64(s.slots()) - s.load(now)
 	limit := r.limit(s, median, now)
-	if need.Long {
-		kept := float64(s.slots()) * r.reserve
-		longLimit := max(1, int(float64(limit)*(1-r.reserve)+0.5))
-		return s.ownLong < longLimit && free > 0 || free > kept && s.ownLong < 2*longLimit
+	if borrow {
+		free := max(0, float64(s.slots())-s.load(now))
+		limit += int(free / float64(r.hosts))
+	}
+	if !need.Long {
+		return s.own < limit
 	}
-	return s.own < limit || free >= 1
+	longLimit := max(1, int(float64(limit)*(1-r.reserve)+0.5))
+	return s.own < limit && s.ownLong < longLimit
 }
 
 func (r *router) Choose(now time.Time, need Need) (Upstream, bool) {
 	median := r.medianGap(now)
-	var best *state
-	bestScore := 0.0
+	candidates := r.candidates(now, need, median, false)
+	if len(candidates) == 0 {
+		candidates = r.candidates(now, need, median, true)
+	}
+	if len(candidates) == 0 {
+		return Upstream{}, false
+	}
 	mean := r.meanLoad(now)
+	best := candidates[0]
+	bestScore := r.score(best, need, median, mean, now)
+	for _, s := range candidates[1:] {
+		if score := r.score(s, need, median, mean, now); score < bestScore {
+			best = s
+			bestScore = score
+		}
+	}
+	return best.Upstream, true
+}
+
+// candidates returns the upstream that should have the prefix cached and some
+// others at random, of those that have room. Slots of other hosts are borrowed
+// only when no own share is free, since hosts that read the same late report
+// would crowd one upstream.
+func (r *router) candidates(now time.Time, need Need, median float64, borrow bool) []*state {
+	r.scratch = r.scratch[:0]
+	home := ""
+	if need.Prefix != 0 {
+		home = r.home(need.Prefix)
+	}
 	for _, s := range r.order {
-		if slices.Contains(need.Avoid, s.Address) || !r.hasRoom(s, need, median, now) {
+		if slices.Contains(need.Avoid, s.Address) || !r.hasRoom(s, need, median, borrow, now) {
 			continue
 		}
-		score := r.score(s, need, median, mean, now)
-		if best == nil || score < bestScore {
-			best = s
-			bestScore = score
+		r.scratch = append(r.scratch, s)
+		if s.Address == home {
+			last := len(r.scratch) - 1
+			r.scratch[0], r.scratch[last] = r.scratch[last], r.scratch[0]
 		}
 	}
-	if best == nil {
-		return Upstream{}, false
+	for i := 1; i < min(len(r.scratch), choices); i++ {
+		pick := i + r.random.IntN(len(r.scratch)-i)
+		r.scratch[i], r.scratch[pick] = r.scratch[pick], r.scratch[i]
 	}
-	return best.Upstream, true
+	return r.scratch[:min(len(r.scratch), choices)]
 }
 
 // score estimates the seconds until the attempt would finish, plus the weighted
@@ -310,6 +347,9 @@
 		return
 	}
 	s.oldest[attempt] = now
+	if s.probing == attempt {
+		s.readmit()
+	}
 	if first {
 		s.first.add(now, now.Sub(r.started[attempt]))
 		return
@@ -336,8 +376,7 @@
 		s.ownLong--
 	}
 	if s.probing == attempt {
-		s.probing = ""
-		s.ejectedAt = now
+		s.endProbe(now)
 	}
 	if !failed {
 		s.failures = 0
--- a/persimrouter/upstream.go
+++ b/persimrouter/upstream.go
@@ -32,6 +32,8 @@
 	latencyWeight = 0.2
 	latencyDecay  = 30 * time.Second
 	reportHalf    = 2 * time.Second
+	// longestProbeWait bounds the time between two probes.
+	longestProbeWait = 30 * time.Second
 )
 
 // state is what is known of one upstream.
@@ -48,6 +50,9 @@
 	ejectedAt  time.Time
 	ejected    bool
 	probing    string
+	probes     int
+	probeAt    time.Time
+	probeWait  time.Duration
 	failures   int
 	lastFailed time.Time
 }
@@ -108,3 +113,29 @@
 	}
 	return a.value
 }
+
+func (s *state) eject(now time.Time, wait time.Duration) {
+	s.ejected = true
+	s.ejectedAt = now
+	s.probing = ""
+	s.probes = 0
+	s.probeWait = wait
+	s.probeAt = now.Add(wait)
+}
+
+// endProbe plans the next probe after one that has lost.
+func (s *state) endProbe(now time.Time) {
+	s.probing = ""
+	s.probes++
+	s.probeWait = min(2*s.probeWait, longestProbeWait)
+	s.probeAt = now.Add(s.probeWait)
+}
+
+// readmit forgets what was observed before the ejection.
+func (s *state) readmit() {
+	s.ejected = false
+	s.probing = ""
+	s.failures = 0
+	s.gap = average{}
+	s.first = average{}
+}
