--- a/Makefile
+++ b/Makefile
@@ -1,19 +1,42 @@
 GO ?= go
-GOLANGCI = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+LINTER = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 MODULES = $(patsubst %/go.mod,./%/...,$(wildcard persim*/go.mod)) ./...
 
-.PHONY: build demo test lint
+.PHONY: build demo test lint format bench capacity faults generate
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
 
+# Starts a deployment on loopback, sends requests through it and breaks parts of it.
 demo: build
 	./scripts/demo.sh
 
+# Formatter and linter.
 lint:
-	$(GOLANGCI) run $(MODULES)
+	$(GO) run $(LINTER) run $(MODULES)
 
+format:
+	$(GO) run $(LINTER) fmt $(MODULES)
+
+# Every test with the race detector, and the policies' measures without it.
 test: lint
 	$(GO) vet $(MODULES)
 	$(GO) test -race $(MODULES)
+	$(GO) test ./persimbench/...
+
+# The policies' measures, and the cost of an entry host in a real deployment.
+bench: build
+	./scripts/overhead.sh
+	./bin/persimbench policies
+
+# The slopes behind docs/CAPACITY.md.
+capacity: build
+	./bin/persimbench capacity
+
+# The larger seeded set of faults; prints its table last.
+faults:
+	PERSIM_FAULT_RUNS=50 $(GO) test -count=1 -v -timeout 60m -run 'TestAcceptedSurvive|TestOrdersRunAtMostOnce' . | grep -v '^[IWE][0-9]'
+
+generate:
+	cd persimwire && $(GO) run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate .
--- a/calls.go
+++ b/calls.go
@@ -271,6 +271,7 @@
 // run waits for an upstream, claims the call if it must run at most once, and sends it.
 func (c *caller) run() {
 	defer c.scheduler.close(c.job.ID)
+	defer c.host.recordEnd(c.flight, c.job)
 	ctx, cancel := context.WithDeadline(c.host.work, c.flight.Deadline())
 	defer cancel()
 	for {
--- a/cmd/persimbench/main.go
+++ b/cmd/persimbench/main.go
@@ -1,8 +1,9 @@
-// Command persimbench runs the experiments on policies and prints their table.
+// Command persimbench runs the experiments on policies, overhead and capacity.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -12,16 +13,19 @@
 	"persimmonport.example/persimbench"
 )
 
-const defaultDuration = 5 * time.Minute
+const (
+	defaultDuration = 2 * time.Minute
+	defaultRequests = 40
+	defaultTokens   = 100
+)
+
+var errNotMet = errors.New("a target is not met")
 
 func main() {
 	root := &cli.Command{
-		Name:  "persimbench",
-		Usage: "measure the policies in virtual time",
-		Flags: []cli.Flag{
-			&cli.DurationFlag{Name: "duration", Value: defaultDuration, Usage: "virtual `TIME` of each run"},
-		},
-		Action: func(_ context.Context, cmd *cli.Command) error { return measure(cmd.Duration("duration")) },
+		Name:     "persimbench",
+		Usage:    "measure policies in virtual time, the overhead of an entry host, and slopes of cost",
+		Commands: []*cli.Command{policiesCommand(), overheadCommand(), capacityCommand()},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "persimbench:", err)
@@ -29,13 +33,84 @@
 	}
 }
 
-func measure(duration time.Duration) error {
-	begin := time.Now()
-	persimbench.Trace = func(m persimbench.Measure) { fmt.Fprintln(os.Stderr, time.Since(begin), m.Name, m.Baseline, m.Now, m.Ideal) }
+func policiesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "policies",
+		Usage: "compare the policies and print a table of measures",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "duration", Value: defaultDuration, Usage: "virtual `TIME` of each run"},
+			&cli.StringFlag{Name: "plot", Usage: "write the plot of the two profiles to `FILE`"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return measure(cmd.Duration("duration"), cmd.String("plot"))
+		},
+	}
+}
+
+func measure(duration time.Duration, plot string) error {
+	trade := persimbench.MeasureTrade(duration)
+	fmt.Println(trade)
+	if plot != "" {
+		if err := trade.Plot(plot); err != nil {
+			return err
+		}
+	}
 	var all []persimbench.Measure
 	for _, d := range persimbench.Deployments() {
 		all = append(all, persimbench.Measures(d, duration)...)
 	}
 	fmt.Print(persimbench.Table(all))
+	for _, m := range all {
+		if !m.Met() {
+			return errNotMet
+		}
+	}
 	return nil
 }
+
+func overheadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "overhead",
+		Usage: "compare requests through an entry host with direct calls of an engine",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "engine", Required: true, Usage: "`ADDRESS` of the engine"},
+			&cli.StringFlag{Name: "callers", Required: true, Usage: "`URL` of the entry host"},
+			&cli.StringFlag{Name: "token", Required: true},
+			&cli.IntFlag{Name: "engine-pid", Required: true},
+			&cli.IntSliceFlag{Name: "host-pid", Required: true},
+			&cli.IntFlag{Name: "requests", Value: defaultRequests},
+			&cli.IntFlag{Name: "tokens", Value: defaultTokens},
+			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "keep `N` requests in progress"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			result, err := persimbench.MeasureOverhead(ctx, persimbench.OverheadPlan{
+				Engine:    cmd.String("engine"),
+				Callers:   cmd.String("callers"),
+				Token:     cmd.String("token"),
+				EnginePID: cmd.Int("engine-pid"),
+				HostPIDs:  cmd.IntSlice("host-pid"),
+				Requests:  cmd.Int("requests"),
+				Tokens:    cmd.Int("tokens"),
+				Parallel:  cmd.Int("parallel"),
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Println(result)
+			return nil
+		},
+	}
+}
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure the slopes behind docs/CAPACITY.md",
+		Action: func(context.Context, *cli.Command) error {
+			for _, slope := range persimbench.Slopes() {
+				fmt.Println(slope)
+			}
+			return nil
+		},
+	}
+}
--- a/duties.go
+++ b/duties.go
@@ -17,15 +17,17 @@
 
 const (
 	// watcherCount is the number of hosts that watch the platform for all others.
-	watcherCount     = 5
-	refreshInterval  = time.Second
-	idleInterval     = 30 * time.Second
-	watchBound       = 30 * time.Second
-	watchRetry       = 500 * time.Millisecond
-	noticeInterval   = time.Second
-	listInterval     = 2 * time.Second
-	reportInterval   = time.Second
-	pruneInterval    = 10 * time.Minute
+	watcherCount    = 5
+	refreshInterval = time.Second
+	idleInterval    = 30 * time.Second
+	watchBound      = 30 * time.Second
+	watchRetry      = 500 * time.Millisecond
+	noticeInterval  = time.Second
+	listInterval    = 2 * time.Second
+	reportInterval  = time.Second
+	pruneInterval   = 10 * time.Minute
+	// migrateMargin is the time before the end of a notice at which streams move.
+	migrateMargin    = 2 * time.Second
 	exchangeInterval = 500 * time.Millisecond
 	exchangeTimeout  = time.Second
 	// exchangeOverlap covers changes that a lost exchange may have missed.
@@ -185,10 +187,21 @@
 		return
 	}
 	if h.members.Leave(notice.Address, notice.Incarnation, time.Now()) {
-		klog.Infof("upstream: %s is reclaimed", notice.Address)
-		h.left(notice.Address)
+		klog.Infof("upstream: %s is reclaimed in %s", notice.Address, notice.Remaining)
+		h.schedulers.update()
 		h.spread()
 	}
+	h.migrateBefore(notice)
+}
+
+// migrateBefore moves the streams that are left on an upstream shortly before the
+// end of its notice; most have finished by then.
+func (h *host) migrateBefore(notice persimplatform.Notice) {
+	if notice.Remaining > migrateMargin+noticeInterval {
+		return
+	}
+	pauseFor := max(0, notice.Remaining-migrateMargin)
+	time.AfterFunc(pauseFor, func() { h.watchers.reclaim(notice.Address) })
 }
 
 func (h *host) isEntryHost(address string) bool {
@@ -215,7 +228,7 @@
 	after := liveAddresses(h.members.Upstreams())
 	h.schedulers.update()
 	for address := range before {
-		if !after[address] {
+		if !after[address] && !h.sawStoreWithin(2*noticeInterval) {
 			h.watchers.reclaim(address)
 		}
 	}
--- a/persimbench/entry.go
+++ b/persimbench/entry.go
@@ -161,7 +161,7 @@
 		w.leave(s)
 		e.forget(s)
 		e.policy.End(e.run.clock.now, s.attempt, persimpolicy.ResultCancelled)
-		if exports && s.started && s.done > 0 {
+		if exports && s.started && (s.done > 0 || s.cached) {
 			e.caches[s.request.id] = true
 		}
 		if len(e.byJob[s.request.id]) == 0 {
--- a/persimbench/measures.go
+++ b/persimbench/measures.go
@@ -66,9 +66,6 @@
 	return s
 }
 
-// Trace is called with each measure when it is done; it may be nil.
-var Trace func(Measure)
-
 // Measures runs all measures of one deployment.
 func Measures(d Deployment, duration time.Duration) []Measure {
 	figures := []func() Measure{
@@ -89,9 +86,6 @@
 	for i, figure := range figures {
 		running.Go(func() {
 			measures[i] = figure()
-			if Trace != nil {
-				Trace(measures[i])
-			}
 			measures[i].Name = d.Name + ": " + measures[i].Name
 		})
 	}
@@ -168,6 +162,7 @@
 
 const (
 	outageLength   = 60 * time.Second
+	outageRun      = 2 * time.Minute
 	recoveryTime   = 10 * time.Second
 	recoveryWindow = 20 * time.Second
 )
@@ -176,9 +171,9 @@
 // end of an outage on with the same requests without an outage.
 func (d Deployment) recovery(duration time.Duration) Measure {
 	return newMeasure("goodput 10 s after a 60 s outage / none", "%", 90, true, func(p PolicyName) float64 {
-		s := d.scenario(p, duration)
+		s := d.scenario(p, max(duration, outageRun))
 		s.Retry = true
-		start := duration / 3
+		start := outageLength / 2
 		from := start + outageLength + recoveryTime
 		plain := Run(s).GoodputOfArrivals(from, from+recoveryWindow)
 		s.Faults = []Fault{
--- /dev/null
+++ b/persimbench/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package persimbench
+
+const raceEnabled = true
--- a/persimbench/run.go
+++ b/persimbench/run.go
@@ -19,7 +19,10 @@
 	maxBackoffSteps = 4
 	drainTime       = time.Minute
 	defaultSlots    = 16
-	seedStream      = 99
+	// noticeTime is the time from a reclaim notice to the end of the workers.
+	noticeTime    = 10 * time.Second
+	migrateMargin = 2 * time.Second
+	seedStream    = 99
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -251,6 +254,10 @@
 }
 
 func (r *run) apply(f Fault) {
+	if f.Kind == FaultReclaim || f.Kind == FaultReclaimExport {
+		r.reclaim(r.order[:f.Workers], f.Kind == FaultReclaimExport)
+		return
+	}
 	for _, w := range r.order[:f.Workers] {
 		switch f.Kind {
 		case FaultSlow:
@@ -261,8 +268,7 @@
 		case FaultReturn:
 			w.dead = false
 			w.slow = 1
-		case FaultReclaim, FaultReclaimExport:
-			r.reclaim(w, f.Kind == FaultReclaimExport)
+		default:
 		}
 	}
 }
@@ -291,19 +297,27 @@
 	}
 }
 
-// reclaim takes a worker from the policies and moves its streams.
-func (r *run) reclaim(w *worker, exports bool) {
-	w.dead = true
+// reclaim takes workers from the policies at the notice, and moves the streams
+// that are left shortly before its end.
+func (r *run) reclaim(workers []*worker, exports bool) {
+	for _, w := range workers {
+		w.leaving = true
+	}
 	var left []persimrouter.Upstream
-	for _, other := range r.order {
-		if !other.dead {
-			left = append(left, persimrouter.Upstream{Address: other.address, Incarnation: "1"})
+	for _, w := range r.order {
+		if !w.leaving {
+			left = append(left, persimrouter.Upstream{Address: w.address, Incarnation: "1"})
 		}
 	}
 	for _, e := range r.distinct() {
 		e.policy.SetUpstreams(left)
 	}
-	for _, e := range r.distinct() {
-		e.migrate(w, exports)
-	}
+	r.clock.after(noticeTime-migrateMargin, func() {
+		for _, w := range workers {
+			w.dead = true
+			for _, e := range r.distinct() {
+				e.migrate(w, exports)
+			}
+		}
+	})
 }
--- a/persimbench/stats.go
+++ b/persimbench/stats.go
@@ -1,7 +1,6 @@
 package persimbench
 
 import (
-	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -28,7 +27,6 @@
 	generated  int
 	useful     int
 	prefilled  int
-	prompts    int
 	repeated   int
 	hedged     int
 	byOrg      map[string]*organisationStats
@@ -130,6 +128,8 @@
 	Recomputed float64
 	// Hedged is the share of generated tokens that hedges have added.
 	Hedged float64
+	// PrefilledPerRequest is the number of prompt tokens computed for a finished request.
+	PrefilledPerRequest float64
 	// Generated is the number of generated tokens.
 	Generated int
 	// ByOrganisation holds the finished tokens and the waiting of each organisation.
@@ -160,19 +160,21 @@
 
 func (s *stats) result(scenario Scenario) Result {
 	result := Result{
-		Scenario:       scenario,
-		ShortFirst:     quantiles(s.shortFirst),
-		LongFirst:      quantiles(s.longFirst),
-		Total:          quantiles(s.total),
-		Offered:        s.offered,
-		Done:           s.done,
-		Late:           s.late,
-		Refusals:       s.refusals,
-		Recomputed:     share(s.repeated, s.generated+s.prefilled),
-		Hedged:         share(s.hedged, s.generated+s.prefilled),
-		Generated:      s.generated,
-		ByOrganisation: map[string]OrganisationResult{},
-		completions:    s.doneAt,
+		Scenario:   scenario,
+		ShortFirst: quantiles(s.shortFirst),
+		LongFirst:  quantiles(s.longFirst),
+		Total:      quantiles(s.total),
+		Offered:    s.offered,
+		Done:       s.done,
+		Late:       s.late,
+		Refusals:   s.refusals,
+		Recomputed: share(s.repeated, s.generated+s.prefilled),
+		Hedged:     share(s.hedged, s.generated+s.prefilled),
+		Generated:  s.generated,
+
+		PrefilledPerRequest: share(s.prefilled, s.done),
+		ByOrganisation:      map[string]OrganisationResult{},
+		completions:         s.doneAt,
 	}
 	for name, o := range s.byOrg {
 		result.ByOrganisation[name] = OrganisationResult{Offered: o.offered, Done: o.done, Tokens: o.tokens, First: quantiles(o.first)}
@@ -225,5 +227,5 @@
 	if squares == 0 {
 		return 0
 	}
-	return math.Pow(sum, 2) / (float64(len(shares)) * squares)
+	return sum * sum / (float64(len(shares)) * squares)
 }
--- a/persimbench/worker.go
+++ b/persimbench/worker.go
@@ -23,6 +23,7 @@
 	slots   int
 	slow    float64
 	dead    bool
+	leaving bool
 	running int
 	waiting []*stream
 	cache   []uint64
--- a/persimqueue/queue.go
+++ b/persimqueue/queue.go
@@ -98,6 +98,8 @@
 	lanes [laneCount]lane
 	work  map[string]time.Duration
 	size  int
+	// lastLane is the lane of the last item that was popped.
+	lastLane Lane
 }
 
 // New returns an empty queue.
@@ -195,25 +197,26 @@
 	return Item{}, false
 }
 
+// order returns the lanes in the order in which they are asked. While long jobs
+// have waited for their share of patience, the lanes take turns.
 func (q *queue) order(now time.Time) []Lane {
-	if q.longIsDue(now) {
+	if q.longIsDue(now) && q.lastLane == LaneShort {
 		return []Lane{LaneLong, LaneShort}
 	}
 	return []Lane{LaneShort, LaneLong}
 }
 
+// longIsDue looks at the long job that would be next, so that the backlog of one
+// organisation does not speed up its own work.
 func (q *queue) longIsDue(now time.Time) bool {
-	for _, f := range q.lanes[LaneLong].flows {
-		if len(f.items) == 0 {
-			continue
-		}
-		patience := f.items[0].Deadline.Sub(f.items[0].Arrived)
-		waited := now.Sub(f.items[0].Arrived)
-		if waited.Seconds() > q.ageShare*patience.Seconds() {
-			return true
-		}
+	l := &q.lanes[LaneLong]
+	names := l.byStart()
+	if len(names) == 0 {
+		return false
 	}
-	return false
+	head := l.flows[names[0]].items[0]
+	patience := head.Deadline.Sub(head.Arrived)
+	return now.Sub(head.Arrived).Seconds() > q.ageShare*patience.Seconds()
 }
 
 func (q *queue) popLane(index Lane, fits func(Item) bool) (Item, bool) {
@@ -226,6 +229,7 @@
 		}
 		f.items = f.items[1:]
 		l.virtual = max(l.virtual, item.start)
+		q.lastLane = index
 		q.forget(item)
 		return item, true
 	}
--- a/replicator.go
+++ b/replicator.go
@@ -15,7 +15,9 @@
 
 const (
 	replicateTimeout = time.Second
-	protectInterval  = 250 * time.Millisecond
+	// replicateInterval is the least time between two messages to one holder.
+	replicateInterval = 5 * time.Millisecond
+	protectInterval   = 250 * time.Millisecond
 	// suspectFor is how long a holder that did not answer is passed over.
 	suspectFor = 3 * time.Second
 )
@@ -65,12 +67,17 @@
 }
 
 func (r *replicator) send(holder string, kick chan struct{}) {
+	var last time.Time
 	for {
 		select {
 		case <-r.host.work.Done():
 			return
 		case <-kick:
 		}
+		if rest := replicateInterval - time.Since(last); rest > 0 {
+			pause(r.host.work, rest)
+		}
+		last = time.Now()
 		r.sendOnce(holder)
 	}
 }
--- a/runner.go
+++ b/runner.go
@@ -167,6 +167,19 @@
 	return r.number
 }
 
+// recordEnd records the time and the outcome of a request that ended here.
+func (h *host) recordEnd(f *persimflight.Flight, job persimpolicy.Job) {
+	state := f.State(time.Now())
+	if !isOver(state.GetPhase()) {
+		return
+	}
+	outcome := "done"
+	if state.GetRefusal() != nil {
+		outcome = strings.ToLower(strings.TrimPrefix(state.GetRefusal().GetOutcome().String(), "OUTCOME_"))
+	}
+	h.metrics.Request(job.Organisation, string(job.Profile.Class), outcome, time.Since(job.Arrived))
+}
+
 // context ends at the deadline or when the host no longer owns the request.
 func (r *runner) context() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(r.host.work, r.flight.Deadline())
@@ -186,6 +199,7 @@
 	ctx, cancel := r.context()
 	defer cancel()
 	defer r.scheduler.close(r.job.ID)
+	defer r.host.recordEnd(r.flight, r.job)
 	running := 0
 	for {
 		select {
