--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,221 @@
+package persimmonport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimfleet"
+	"persimmonport.example/persimmember"
+	"persimmonport.example/persimplatform"
+	"persimmonport.example/persimwire"
+)
+
+const (
+	fleetObject   = "fleet"
+	leaseObject   = "fleet-lease"
+	fleetInterval = 5 * time.Second
+	leaseTime     = 20 * time.Second
+	drainWait     = 30 * time.Second
+	maxRefusals   = 64
+)
+
+// fleetSettings is the value of the object that describes the fleet.
+type fleetSettings struct {
+	Groups []persimfleet.Group `json:"groups"`
+	Offers []persimfleet.Offer `json:"offers"`
+}
+
+// fleet is the controller of the fleet on one host. It sends orders only while it
+// holds the lease; two holders for a moment are harmless, since each order has an
+// intent of its own and the platform refuses older fencing numbers.
+type fleet struct {
+	host     *host
+	planner  persimfleet.Planner
+	refusals []persimfleet.Refusal
+	stopping map[string]time.Time
+}
+
+func newFleet(h *host) *fleet {
+	return &fleet{host: h, planner: persimfleet.New(), stopping: map[string]time.Time{}}
+}
+
+func (f *fleet) duty(ctx context.Context) {
+	every(ctx, fleetInterval, func(ctx context.Context) {
+		if persimmember.Rank("fleet", f.host.members.Hosts())[0].GetName() != f.host.name() {
+			return
+		}
+		if err := f.round(ctx); err != nil && !errors.Is(err, persimplatform.ErrNotFound) {
+			klog.V(1).Infof("fleet: round failed, nothing is changed: %v", err)
+		}
+	})
+}
+
+// round plans and carries out orders. With the platform silent it does nothing.
+func (f *fleet) round(ctx context.Context) error {
+	orders, err := f.plan(ctx)
+	if err != nil || len(orders) == 0 {
+		return trace.Wrap(err)
+	}
+	lease, err := f.acquire(ctx, len(orders))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for i, order := range orders {
+		sequence := lease.GetSequence() - uint64(len(orders)) + uint64(i)
+		f.carryOut(ctx, order, fmt.Sprintf("intent-%d", sequence), lease.GetFence())
+	}
+	return nil
+}
+
+// plan reads the description and the list, and returns the orders for all groups.
+func (f *fleet) plan(ctx context.Context) ([]persimfleet.Order, error) {
+	object, err := f.host.store.Get(ctx, fleetObject)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var settings fleetSettings
+	if err := json.Unmarshal(object.Value, &settings); err != nil {
+		return nil, trace.BadParameter("fleet: %v", err)
+	}
+	listed, err := f.host.store.Hosts(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var orders []persimfleet.Order
+	for _, group := range settings.Groups {
+		orders = append(orders, f.planner.Plan(f.state(group, settings.Offers, listed))...)
+	}
+	return orders, nil
+}
+
+func (f *fleet) state(group persimfleet.Group, offers []persimfleet.Offer, listed []persimplatform.Host) persimfleet.State {
+	state := persimfleet.State{
+		Group:    group,
+		Offers:   offers,
+		Demand:   f.host.schedulers.get(group.Name).demand(),
+		Refusals: f.refusals,
+		Now:      time.Now(),
+	}
+	live := liveAddresses(f.host.members.Upstreams())
+	for _, h := range listed {
+		if h.Group != group.Name {
+			continue
+		}
+		state.Members = append(state.Members, persimfleet.Member{
+			Address: h.Address, Incarnation: h.Incarnation, Group: h.Group, Offer: offerOf(h, offers),
+			Leaving: h.State == persimplatform.HostLeaving || !live[h.Address],
+		})
+	}
+	return state
+}
+
+func offerOf(h persimplatform.Host, offers []persimfleet.Offer) persimfleet.Offer {
+	for _, o := range offers {
+		if o.Centre == h.Centre && o.Machine == h.Machine && o.Reclaimable == h.Reclaimable {
+			return o
+		}
+	}
+	return persimfleet.Offer{Centre: h.Centre, Machine: h.Machine, Reclaimable: h.Reclaimable}
+}
+
+// acquire takes or keeps the lease by a conditional update, which also reserves intents.
+func (f *fleet) acquire(ctx context.Context, intents int) (*persimwire.Lease, error) {
+	object, err := f.host.store.Get(ctx, leaseObject)
+	if errors.Is(err, persimplatform.ErrNotFound) {
+		object, err = persimplatform.Object{Name: leaseObject}, nil
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var lease persimwire.Lease
+	if err := proto.Unmarshal(object.Value, &lease); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if lease.GetHolder() != f.host.name() {
+		if time.Now().Before(lease.GetExpires().AsTime()) {
+			return nil, trace.AlreadyExists("fleet: host %s holds the lease", lease.GetHolder())
+		}
+		lease.Holder = f.host.name()
+		lease.Fence++
+	}
+	lease.Expires = timestamppb.New(time.Now().Add(leaseTime))
+	lease.Sequence += uint64(intents)
+	value, err := proto.Marshal(&lease)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if _, err := f.host.store.Put(ctx, object.WithValue(value)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &lease, nil
+}
+
+func (f *fleet) carryOut(ctx context.Context, order persimfleet.Order, intent string, fence uint64) {
+	klog.Infof("fleet: %s %s of group %s in %s: %s", order.Action, order.Offer.Machine, order.Group, order.Offer.Centre, order.Cause)
+	if order.Action == persimfleet.ActionStop {
+		f.stop(ctx, order, intent, fence)
+		return
+	}
+	start := persimplatform.StartOrder{
+		Intent: intent, Fence: fence, Group: order.Group, Centre: order.Offer.Centre,
+		Machine: order.Offer.Machine, Reclaimable: order.Offer.Reclaimable,
+	}
+	_, err := f.host.store.Start(ctx, start)
+	if errors.Is(err, persimplatform.ErrUncertain) {
+		_, err = f.host.store.Start(ctx, start)
+	}
+	if errors.Is(err, persimplatform.ErrRefused) {
+		f.refused(order.Offer)
+	}
+}
+
+func (f *fleet) refused(offer persimfleet.Offer) {
+	f.refusals = append(f.refusals, persimfleet.Refusal{
+		Centre: offer.Centre, Machine: offer.Machine, Reclaimable: offer.Reclaimable, At: time.Now(),
+	})
+	f.refusals = f.refusals[max(0, len(f.refusals)-maxRefusals):]
+}
+
+// stop drains an upstream before it gives the host back.
+func (f *fleet) stop(ctx context.Context, order persimfleet.Order, intent string, fence uint64) {
+	if _, ok := f.stopping[order.Address]; ok {
+		return
+	}
+	f.stopping[order.Address] = time.Now()
+	f.host.members.Leave(order.Address, order.Incarnation, time.Now())
+	f.host.schedulers.update()
+	f.host.spread()
+	time.AfterFunc(drainWait, func() {
+		f.host.watchers.reclaim(order.Address)
+		_ = f.host.store.Stop(ctx, persimplatform.StopOrder{
+			Intent: intent, Fence: fence, Address: order.Address, Incarnation: order.Incarnation,
+		})
+	})
+}
+
+func (o operatorService) PlanFleet(ctx context.Context, _ *connect.Request[persimwire.PlanFleetRequest]) (*connect.Response[persimwire.PlanFleetResponse], error) {
+	orders, err := newFleet(o.host).plan(ctx)
+	if errors.Is(err, persimplatform.ErrNotFound) {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("the platform holds no description of the fleet"))
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	response := &persimwire.PlanFleetResponse{}
+	for _, order := range orders {
+		response.Orders = append(response.Orders, &persimwire.FleetOrder{
+			Action: string(order.Action), Group: order.Group, Centre: order.Offer.Centre,
+			Machine: order.Offer.Machine, Reclaimable: order.Offer.Reclaimable, Cause: order.Cause,
+		})
+	}
+	return connect.NewResponse(response), nil
+}
--- a/host.go
+++ b/host.go
@@ -171,6 +171,7 @@
 		h.evictDuty,
 		h.pruneDuty,
 		h.replicator.duty,
+		newFleet(h).duty,
 	}
 	var running sync.WaitGroup
 	for _, duty := range duties {
--- a/operators.go
+++ b/operators.go
@@ -191,7 +191,3 @@
 	o.host.Drain()
 	return connect.NewResponse(&persimwire.DrainResponse{Started: started}), nil
 }
-
-func (o operatorService) PlanFleet(context.Context, *connect.Request[persimwire.PlanFleetRequest]) (*connect.Response[persimwire.PlanFleetResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("the fleet planner is not part of this version"))
-}
--- a/persimbench/ideal.go
+++ b/persimbench/ideal.go
@@ -46,6 +46,8 @@
 
 func (p *ideal) Waiting() int { return len(p.waiting) }
 
+func (p *ideal) Demand(time.Time) float64 { return 0 }
+
 func (p *ideal) Status(time.Time) []persimrouter.Status { return nil }
 
 func (p *ideal) Report(time.Time, string, persimrouter.Report) {}
--- a/persimbench/measures.go
+++ b/persimbench/measures.go
@@ -90,7 +90,7 @@
 		})
 	}
 	running.Wait()
-	return measures
+	return append(measures, FleetMeasures(d)...)
 }
 
 func (d Deployment) shortBehindLong(duration time.Duration) Measure {
@@ -173,6 +173,7 @@
 	return newMeasure("goodput 10 s after a 60 s outage / none", "%", 90, true, func(p PolicyName) float64 {
 		s := d.scenario(p, max(duration, outageRun))
 		s.Retry = true
+		s.Drain = s.Mix.LongPatience
 		start := outageLength / 2
 		from := start + outageLength + recoveryTime
 		plain := Run(s).GoodputOfArrivals(from, from+recoveryWindow)
--- a/persimbench/run.go
+++ b/persimbench/run.go
@@ -56,6 +56,8 @@
 	Cancel bool
 	// Faults happen during the run.
 	Faults []Fault
+	// Drain is the time after the last arrival in which requests may finish.
+	Drain time.Duration
 	// Greedy multiplies the requests of the first organisation.
 	Greedy float64
 }
@@ -95,6 +97,7 @@
 		Duration:  5 * time.Minute,
 		ReportLag: time.Second,
 		Cancel:    true,
+		Drain:     drainTime,
 	}
 }
 
@@ -123,13 +126,13 @@
 	for _, fault := range s.Faults {
 		r.clock.after(fault.At, func() { r.apply(fault) })
 	}
-	r.clock.every(decideInterval, end.Add(drainTime), func() {
+	r.clock.every(decideInterval, end.Add(s.Drain), func() {
 		for _, e := range r.distinct() {
 			e.decide()
 		}
 	})
-	r.clock.every(s.ReportLag, end.Add(drainTime), r.report)
-	r.clock.run(end.Add(drainTime))
+	r.clock.every(s.ReportLag, end.Add(s.Drain), r.report)
+	r.clock.run(end.Add(s.Drain))
 	return r.stats.result(s)
 }
 
--- a/persimledger/ledger.go
+++ b/persimledger/ledger.go
@@ -90,7 +90,8 @@
 	return func(c *config) { c.retention = retention }
 }
 
-// WithEarlyAnswers sets whether a duplicate is answered from a claim seen before.
+// WithEarlyAnswers sets whether a duplicate is answered from a claim seen before,
+// without a platform call. Claims are never withdrawn, so such an answer is right.
 func WithEarlyAnswers(early bool) Option { return func(c *config) { c.early = early } }
 
 // WithForwarder sends claims to the preferred writer of their slice.
--- a/persimledger/ledger_test.go
+++ b/persimledger/ledger_test.go
@@ -267,7 +267,8 @@
 }
 
 func TestDuplicateNeedsNoPlatformCall(t *testing.T) {
-	for _, early := range []bool{true, false} {
+	const duplicates = 20
+	for early, calls := range map[bool]int{true: 0, false: duplicates} {
 		synctest.Test(t, func(t *testing.T) {
 			store := newFaultyStore()
 			ledger, cleanup := New(store, WithEarlyAnswers(early))
@@ -276,12 +277,12 @@
 			_, err := ledger.Claim(t.Context(), testClaim(t, key, 7))
 			require.NoError(t, err)
 			before := store.calls
-			for token := range uint64(20) {
+			for token := range uint64(duplicates) {
 				inForce, err := ledger.Claim(t.Context(), testClaim(t, key, 100+token))
 				require.NoError(t, err)
 				require.Equal(t, uint64(7), inForce.Token)
 			}
-			require.Equal(t, before, store.calls)
+			require.Equal(t, before+calls, store.calls)
 		})
 	}
 }
--- a/persimledger/writer.go
+++ b/persimledger/writer.go
@@ -124,6 +124,9 @@
 }
 
 func (w *writer) commit(batch []*operation) {
+	if !w.ledger.early {
+		w.cached = nil
+	}
 	batch = w.answerEarly(batch)
 	batch = w.forward(batch)
 	for {
@@ -146,7 +149,7 @@
 
 // answerEarly finishes claims whose key is known to be claimed by another claimant.
 func (w *writer) answerEarly(batch []*operation) []*operation {
-	if w.cached == nil || !w.ledger.early {
+	if w.cached == nil {
 		return batch
 	}
 	rest := batch[:0]
--- a/persimpolicy/adaptive.go
+++ b/persimpolicy/adaptive.go
@@ -64,6 +64,7 @@
 	attempts  map[string]*running
 	order     []string
 	sequence  uint64
+	hosts     int
 	// first is the mean time to the first token beyond the prompt's computation, in seconds.
 	first   float64
 	pending []Refused
@@ -83,15 +84,23 @@
 		predictor: newPredictor(),
 		waiting:   map[string]Job{},
 		attempts:  map[string]*running{},
+		hosts:     1,
 	}
 }
 
 func (a *adaptive) SetUpstreams(upstreams []persimrouter.Upstream) { a.router.SetUpstreams(upstreams) }
 
-func (a *adaptive) SetHosts(hosts int) { a.router.SetHosts(hosts) }
+func (a *adaptive) SetHosts(hosts int) {
+	a.hosts = hosts
+	a.router.SetHosts(hosts)
+}
 
 func (a *adaptive) Waiting() int { return a.queue.Len() }
 
+func (a *adaptive) Demand(now time.Time) float64 {
+	return a.router.Load(now) + float64(a.queue.Len()*a.hosts)
+}
+
 func (a *adaptive) Status(now time.Time) []persimrouter.Status { return a.router.Status(now) }
 
 func (a *adaptive) Report(now time.Time, address string, report persimrouter.Report) {
--- a/persimpolicy/baseline.go
+++ b/persimpolicy/baseline.go
@@ -44,6 +44,14 @@
 
 func (b *baseline) Waiting() int { return len(b.queue) }
 
+func (b *baseline) Demand(time.Time) float64 {
+	total := len(b.queue)
+	for _, running := range b.inFlight {
+		total += running
+	}
+	return float64(total * b.hosts)
+}
+
 func (b *baseline) Offer(_ time.Time, job Job) (Refusal, bool) {
 	b.queue = append(b.queue, job)
 	return Refusal{}, true
--- a/persimpolicy/policy.go
+++ b/persimpolicy/policy.go
@@ -117,4 +117,6 @@
 	Status(now time.Time) []persimrouter.Status
 	// Waiting returns the number of waiting jobs.
 	Waiting() int
+	// Demand returns the number of slots in use or asked for, on all hosts.
+	Demand(now time.Time) float64
 }
--- a/persimrouter/router.go
+++ b/persimrouter/router.go
@@ -98,6 +98,8 @@
 	Report(now time.Time, address string, report Report)
 	// Observe updates which upstreams are ejected.
 	Observe(now time.Time)
+	// Load estimates the attempts in all upstreams, from all hosts.
+	Load(now time.Time) float64
 	// Slots returns the number of attempts that the host may have in progress.
 	Slots() int
 	// Status returns what is known of each upstream.
@@ -309,15 +311,16 @@
 	return best
 }
 
-func (r *router) meanLoad(now time.Time) float64 {
-	if len(r.order) == 0 {
-		return 0
-	}
+func (r *router) Load(now time.Time) float64 {
 	total := 0.0
 	for _, s := range r.order {
 		total += s.load(now)
 	}
-	return total / float64(len(r.order))
+	return total
+}
+
+func (r *router) meanLoad(now time.Time) float64 {
+	return r.Load(now) / float64(max(1, len(r.order)))
 }
 
 func (r *router) Start(now time.Time, need Need, address string) {
--- a/scheduler.go
+++ b/scheduler.go
@@ -232,3 +232,11 @@
 	defer s.mu.Unlock()
 	return s.policy.Status(time.Now())
 }
+
+// demand is the number of slots in use or asked for on all hosts, by late reports
+// and this host's queue.
+func (s *scheduler) demand() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.policy.Demand(time.Now())
+}
