Fit control traffic to the design size

Cause (slopes of make capacity at 340 hosts and 2,200 upstreams): the digest was computed from all rows in each exchange (1.39 ms, about 48 times a second, 6.7 % of a core); watchers read the whole catalogue every second and the whole list every two; load reports of 64 upstreams came every second. Change: hashes of rows are kept; catalogue and list are read conditionally; at most 32 reports a second; a slice can be written less often.

--- a/cmd/persimmonport/process_test.go
+++ b/cmd/persimmonport/process_test.go
@@ -264,7 +264,7 @@
 	second := s.order(1, key)
 	time.Sleep(8 * time.Second)
 	s.signal(0, syscall.SIGCONT)
-	_ = <-first
+	t.Logf("the paused host answered: %v", <-first)
 	time.Sleep(2 * time.Second)
 	require.LessOrEqual(t, s.runs(key), 1)
 	if second == nil {
--- a/duties.go
+++ b/duties.go
@@ -25,6 +25,7 @@
 	noticeInterval  = time.Second
 	listInterval    = 2 * time.Second
 	reportInterval  = time.Second
+	maxReports      = 32
 	pruneInterval   = 10 * time.Minute
 	// migrateMargin is the time before the end of a notice at which streams move.
 	migrateMargin    = 2 * time.Second
@@ -243,14 +244,20 @@
 	return addresses
 }
 
-// reportDuty asks the upstreams for their load.
+// reportDuty asks the upstreams for their load, at most maxReports in a round.
 func (h *host) reportDuty(ctx context.Context) {
+	next := 0
 	every(ctx, reportInterval, func(ctx context.Context) {
+		var tasks []func()
 		for _, s := range h.schedulers.all() {
 			for _, status := range s.status() {
-				go h.reportOne(ctx, s, status.Address, status.Incarnation)
+				tasks = append(tasks, func() { h.reportOne(ctx, s, status.Address, status.Incarnation) })
 			}
 		}
+		for range min(len(tasks), maxReports) {
+			next = (next + 1) % len(tasks)
+			go tasks[next]()
+		}
 	})
 }
 
--- a/host.go
+++ b/host.go
@@ -145,6 +145,7 @@
 		persimledger.WithSlices(settings.Ledger.Slices),
 		persimledger.WithSpan(settings.Ledger.Span.Std()),
 		persimledger.WithRetention(settings.Ledger.Retention.Std()),
+		persimledger.WithInterval(settings.Ledger.Interval.Std()),
 		persimledger.WithForwarder(forwarder{h}))
 	h.ledger = ledger
 	cleanup := func() {
--- a/persimfleet/plan.go
+++ b/persimfleet/plan.go
@@ -20,14 +20,6 @@
 	Slots int `json:"slots"`
 }
 
-func (o Offer) key() offerKey { return offerKey{o.Centre, o.Machine, o.Reclaimable} }
-
-type offerKey struct {
-	centre      string
-	machine     string
-	reclaimable bool
-}
-
 // A Group is a group of upstreams that the fleet serves.
 type Group struct {
 	Name string `json:"name"`
--- a/persimledger/ledger.go
+++ b/persimledger/ledger.go
@@ -73,6 +73,7 @@
 	skew      time.Duration
 	delay     time.Duration
 	early     bool
+	interval  time.Duration
 	forwarder Forwarder
 }
 
@@ -90,6 +91,12 @@
 	return func(c *config) { c.retention = retention }
 }
 
+// WithInterval sets the least time between two writes of one slice, so that more
+// claims share a write.
+func WithInterval(interval time.Duration) Option {
+	return func(c *config) { c.interval = interval }
+}
+
 // WithEarlyAnswers sets whether a duplicate is answered from a claim seen before,
 // without a platform call. Claims are never withdrawn, so such an answer is right.
 func WithEarlyAnswers(early bool) Option { return func(c *config) { c.early = early } }
--- a/persimledger/writer.go
+++ b/persimledger/writer.go
@@ -70,6 +70,8 @@
 
 	cached *persimwire.Slice
 	object persimplatform.Object
+	// written is the time of the last write.
+	written time.Time
 }
 
 func newWriter(l *ledger, slice string) *writer {
@@ -85,6 +87,7 @@
 		case <-w.ledger.ctx.Done():
 			return
 		case op := <-w.ring:
+			_ = sleep(w.ledger.ctx, w.ledger.interval-time.Since(w.written))
 			w.commit(w.collect(op))
 		case <-idle.C:
 			if w.ledger.retire(w) {
@@ -241,6 +244,7 @@
 	ctx, cancel := context.WithTimeout(w.ledger.ctx, persimplatform.DefaultCallTimeout)
 	defer cancel()
 	w.ledger.counts.writes.Add(1)
+	w.written = time.Now()
 	stored, err := w.ledger.store.Put(ctx, w.object.WithValue(value))
 	if err != nil {
 		return trace.Wrap(err)
@@ -310,6 +314,9 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/persimmember/table.go
+++ b/persimmember/table.go
@@ -88,12 +88,29 @@
 	row      *persimwire.HostRow
 	changed  time.Time
 	failures int
+	hash     rowHash
 }
 
 type upstreamEntry struct {
 	row     *persimwire.UpstreamRow
 	changed time.Time
 	listed  bool
+	hash    rowHash
+}
+
+// rowHash remembers the hash of a row; rows are replaced, never changed.
+type rowHash struct {
+	row proto.Message
+	sum uint64
+}
+
+func (h *rowHash) of(row proto.Message) uint64 {
+	if h.row != row {
+		data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(row)
+		h.row = row
+		h.sum = xxhash.Sum64(data)
+	}
+	return h.sum
 }
 
 type table struct {
@@ -284,15 +301,11 @@
 // digest combines the hashes of all rows so that their order does not matter.
 func (t *table) digest() uint64 {
 	var sum uint64
-	var buffer []byte
-	options := proto.MarshalOptions{Deterministic: true}
 	for _, e := range t.hosts {
-		buffer, _ = options.MarshalAppend(buffer[:0], e.row)
-		sum += xxhash.Sum64(buffer)
+		sum += e.hash.of(e.row)
 	}
 	for _, e := range t.upstreams {
-		buffer, _ = options.MarshalAppend(buffer[:0], e.row)
-		sum += xxhash.Sum64(buffer)
+		sum += e.hash.of(e.row)
 	}
 	return sum
 }
--- a/persimplatform/client.go
+++ b/persimplatform/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -24,7 +26,9 @@
 	burstSeconds          = 2
 	idleConnections       = 8
 	idleTimeout           = 30 * time.Second
-	maxResponseBytes      = 4 << 20
+	// untagged stands for the tag of a resource that has none.
+	untagged         = "untagged"
+	maxResponseBytes = 4 << 20
 )
 
 type config struct {
@@ -73,6 +77,15 @@
 	http    *http.Client
 	readBy  *rate.Limiter
 	writeBy *rate.Limiter
+
+	mu   sync.Mutex
+	list taggedList
+}
+
+// taggedList is the list of hosts last read, with its entity tag.
+type taggedList struct {
+	tag   string
+	hosts []Host
 }
 
 // New returns a client of the platform at the base URL and its clean-up function.
@@ -172,6 +185,24 @@
 	return e.object()
 }
 
+func (c *client) GetNewer(ctx context.Context, name string, version uint64) (Object, bool, error) {
+	var e Envelope
+	tag, err := c.readTagged(ctx, objectPath(name), versionTag(version), &e)
+	if err != nil {
+		return Object{}, false, trace.Wrap(err)
+	}
+	if tag == "" {
+		return Object{}, false, nil
+	}
+	object, err := e.object()
+	return object, true, trace.Wrap(err)
+}
+
+// versionTag is the entity tag of an object's version.
+func versionTag(version uint64) string {
+	return strconv.Quote(strconv.FormatUint(version, 10))
+}
+
 func (c *client) Put(ctx context.Context, object Object) (Object, error) {
 	if len(object.Value) > MaxValueBytes {
 		return Object{}, trace.Wrap(ErrTooLarge)
@@ -224,9 +255,21 @@
 }
 
 func (c *client) Hosts(ctx context.Context) ([]Host, error) {
+	c.mu.Lock()
+	known := c.list
+	c.mu.Unlock()
 	var hosts []Host
-	err := c.read(ctx, "/cloud/v1/hosts", &hosts)
-	return hosts, trace.Wrap(err)
+	tag, err := c.readTagged(ctx, "/cloud/v1/hosts", known.tag, &hosts)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if tag == "" {
+		return known.hosts, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = taggedList{tag: tag, hosts: hosts}
+	return hosts, nil
 }
 
 func (c *client) Notices(ctx context.Context) ([]Notice, error) {
@@ -246,22 +289,33 @@
 }
 
 func (c *client) read(ctx context.Context, path string, into any) error {
+	_, err := c.readTagged(ctx, path, "", into)
+	return err
+}
+
+// readTagged reads a resource unless its entity tag is the given one. It returns
+// the tag of what was read, or an empty one when nothing has changed.
+func (c *client) readTagged(ctx context.Context, path, tag string, into any) (string, error) {
 	if !c.readBy.Allow() {
-		return ErrThrottled
+		return "", ErrThrottled
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
-	resp, err := c.send(ctx, http.MethodGet, path, nil)
+	resp, err := c.sendTagged(ctx, http.MethodGet, path, tag, nil)
 	if err != nil {
-		return ErrUnavailable
+		return "", ErrUnavailable
+	}
+	if resp.StatusCode == http.StatusNotModified {
+		_ = resp.Body.Close()
+		return "", nil
 	}
 	if err := decode(resp, into); err != nil {
 		if isDecision(err) {
-			return err
+			return "", err
 		}
-		return ErrUnavailable
+		return "", ErrUnavailable
 	}
-	return nil
+	return cmp.Or(resp.Header.Get("ETag"), untagged), nil
 }
 
 func (c *client) write(ctx context.Context, method, path string, body, into any) error {
@@ -294,11 +348,18 @@
 }
 
 func (c *client) send(ctx context.Context, method, path string, payload []byte) (*http.Response, error) {
+	return c.sendTagged(ctx, method, path, "", payload)
+}
+
+func (c *client) sendTagged(ctx context.Context, method, path, tag string, payload []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(payload))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
--- a/persimplatform/store.go
+++ b/persimplatform/store.go
@@ -51,6 +51,9 @@
 type Store interface {
 	// Get returns the object, or ErrNotFound or ErrUnavailable.
 	Get(ctx context.Context, name string) (Object, error)
+	// GetNewer returns the object if its version differs from the given one, and
+	// reports whether it does. It returns ErrNotFound or ErrUnavailable.
+	GetNewer(ctx context.Context, name string, version uint64) (Object, bool, error)
 	// Put writes the object if it is still at its version; version zero creates it.
 	// It returns the stored object, or ErrConflict, ErrUncertain, ErrThrottled,
 	// ErrTooLarge or ErrUnavailable.
--- a/persimprofile/keeper.go
+++ b/persimprofile/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -27,6 +28,7 @@
 // A Store reads and conditionally writes objects.
 type Store interface {
 	Get(ctx context.Context, name string) (persimplatform.Object, error)
+	GetNewer(ctx context.Context, name string, version uint64) (persimplatform.Object, bool, error)
 	Put(ctx context.Context, object persimplatform.Object) (persimplatform.Object, error)
 }
 
@@ -39,7 +41,7 @@
 	Current() Catalogue
 	// Apply puts a catalogue in force if its generation is greater, and reports whether it did.
 	Apply(Catalogue) bool
-	// Refresh reads the catalogue from the platform and applies it.
+	// Refresh reads the catalogue from the platform if it has changed, and applies it.
 	Refresh(ctx context.Context) error
 	// Commit stores an edit of the generation base under a change identifier.
 	// It returns ErrStale with the newer catalogue when another change came first.
@@ -50,6 +52,8 @@
 
 type keeper struct {
 	store Store
+	// seen is the version of the object that Refresh last read.
+	seen atomic.Uint64
 
 	mu      sync.Mutex
 	current Catalogue
@@ -86,11 +90,19 @@
 }
 
 func (k *keeper) Refresh(ctx context.Context) error {
-	_, c, err := k.load(ctx)
+	object, changed, err := k.store.GetNewer(ctx, ObjectName, k.seen.Load())
+	if errors.Is(err, persimplatform.ErrNotFound) {
+		return nil
+	}
+	if err != nil || !changed {
+		return trace.Wrap(err)
+	}
+	c, err := Unmarshal(object.Value)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	k.Apply(c)
+	k.seen.Store(object.Version)
 	return nil
 }
 
--- a/persimsettings/check.go
+++ b/persimsettings/check.go
@@ -96,6 +96,7 @@
 func (c *checker) ledger(l Ledger) {
 	c.count("ledger.slices", l.Slices, 1, 4096)
 	c.duration("ledger.span", l.Span.Std(), time.Minute, time.Hour)
+	c.duration("ledger.interval", l.Interval.Std(), 0, 2*time.Second)
 	c.duration("ledger.retention", l.Retention.Std(), time.Hour, 30*24*time.Hour)
 }
 
--- a/persimsettings/settings.go
+++ b/persimsettings/settings.go
@@ -59,6 +59,8 @@
 	Slices    int                     `toml:"slices"`
 	Span      persimduration.Duration `toml:"span"`
 	Retention persimduration.Duration `toml:"retention"`
+	// Interval is the least time between two writes of one slice.
+	Interval persimduration.Duration `toml:"interval"`
 }
 
 // Drain holds the times of a graceful shutdown.
--- a/persimsettings/settings_test.go
+++ b/persimsettings/settings_test.go
@@ -1,6 +1,8 @@
 package persimsettings
 
 import (
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -96,3 +98,27 @@
 		_, _ = Parse(data)
 	})
 }
+
+// TestEveryKeyIsDocumented compares the settings with the operators' page.
+func TestEveryKeyIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	require.NoError(t, err)
+	for _, key := range keysOf(reflect.TypeFor[Settings](), "") {
+		require.Contains(t, string(page), "`"+key+"`")
+	}
+}
+
+// keysOf returns the dotted keys of a settings table; lists of tables count as one key.
+func keysOf(table reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range table.NumField() {
+		field := table.Field(i)
+		key := prefix + field.Tag.Get("toml")
+		if field.Type.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(field.Type, key+".")...)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
--- a/persimstand/platform.go
+++ b/persimstand/platform.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"persimmonport.example/persimplatform"
@@ -149,7 +150,7 @@
 		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, persimplatform.NewEnvelope(object))
+	writeTagged(w, r, strconv.Quote(strconv.FormatUint(object.Version, 10)), persimplatform.NewEnvelope(object))
 }
 
 // Lookup returns an object as a reader sees it, which lags when the fault is set.
@@ -260,7 +261,11 @@
 	}
 }
 
-func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.List()) }
+func (p *Platform) listHosts(w http.ResponseWriter, r *http.Request) {
+	hosts := p.List()
+	data, _ := json.Marshal(hosts)
+	writeTagged(w, r, strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16)), hosts)
+}
 
 // List returns the lagging list of hosts.
 func (p *Platform) List() []persimplatform.Host {
