Keep the tests free of races

Cause: two tests shared a variable between goroutines; in the orders test all askers of a key used the last delay. Found by the race detector in make test.

--- a/deployment_test.go
+++ b/deployment_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,9 +53,11 @@
 	centre   string
 	settings persimsettings.Settings
 	host     *host
-	kill     context.CancelFunc
-	alive    context.Context
-	done     chan struct{}
+	// running is the host for goroutines that outlive a replacement.
+	running atomic.Pointer[host]
+	kill    context.CancelFunc
+	alive   context.Context
+	done    chan struct{}
 }
 
 // deployment is a whole small system in virtual time.
@@ -214,6 +217,7 @@
 		WithPlatform(platform), WithEngine(engine), WithService(service), WithMetrics(nullMetrics{}))
 	require.NoError(d.t, err)
 	e.host = built.(*host)
+	e.running.Store(e.host)
 	e.alive = alive
 	e.done = make(chan struct{})
 	e.kill = func() {
--- a/orders_test.go
+++ b/orders_test.go
@@ -147,8 +147,9 @@
 		for asker := range askers {
 			e := d.entries[random.IntN(len(d.entries))]
 			delay += time.Duration(random.Int64N(int64(time.Second)))
+			after := delay
 			running.Go(func() {
-				time.Sleep(delay)
+				time.Sleep(after)
 				a := d.order(e, key, fmt.Sprint("arm ", i), asker > 0)
 				mu.Lock()
 				defer mu.Unlock()
--- a/profiles_test.go
+++ b/profiles_test.go
@@ -42,11 +42,12 @@
 		for d.root.Err() == nil {
 			mu.Lock()
 			for _, e := range d.entries {
-				generation := e.host.keeper.Current().Generation()
-				if generation < highest[e.host] {
+				running := e.running.Load()
+				generation := running.keeper.Current().Generation()
+				if generation < highest[running] {
 					found = append(found, e.name)
 				}
-				highest[e.host] = generation
+				highest[running] = generation
 			}
 			mu.Unlock()
 			time.Sleep(10 * time.Millisecond)
