--- a/callers.go
+++ b/callers.go
@@ -22,9 +22,8 @@
 	// compressFrom is the size from which messages are compressed, in bytes. Streamed
 	// tokens are far smaller.
 	compressFrom = 4096
-	// unprotectedBound is how lately a host must have reached the platform to
-	// accept a request of which no other host holds a replica.
-	unprotectedBound = 2500 * time.Millisecond
+	// reachTimeout bounds the call that shows a host without peers to be connected.
+	reachTimeout = time.Second
 )
 
 // callerService implements the interface of callers.
@@ -175,7 +174,7 @@
 	defer cancel()
 	f.SetReplica(hostsOf(f.ID())[1])
 	replicated := f.Await(protect)
-	if !replicated && (profile.ReplicaRequired || h.pickReplica("") != "" || !h.sawStoreWithin(unprotectedBound)) {
+	if !replicated && (profile.ReplicaRequired || h.pickReplica("") != "" || !h.reachesStore(ctx)) {
 		s.close(job.ID)
 		h.flights.Drop(f.ID())
 		return nil, notRun(persimwire.Reason_REASON_UNREPLICATED, "no other host holds a replica")
@@ -184,6 +183,14 @@
 	return &persimwire.Accepted{Id: f.ID(), Replicated: replicated}, nil
 }
 
+// reachesStore asks the platform, so that a host cut off from everything accepts
+// no request of which no other host holds a replica.
+func (h *host) reachesStore(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	return h.keeper.Refresh(bounded) == nil
+}
+
 // checkOpen refuses new requests of a host that is leaving or isolated.
 func (h *host) checkOpen() *persimwire.Refusal {
 	if h.refusing.Load() {
--- a/replicator.go
+++ b/replicator.go
@@ -143,7 +143,16 @@
 	if len(flights) == 0 {
 		return
 	}
-	holder := h.pickReplica("")
+	h.setReplicas(flights, h.pickReplica(""))
+}
+
+// setReplicas chooses a holder for requests. Without any holder their tokens are
+// released unprotected, but only by a host that reaches the platform; otherwise the
+// last holder may be about to take the requests over.
+func (h *host) setReplicas(flights []*persimflight.Flight, holder string) {
+	if holder == "" && len(flights) > 0 && !h.reachesStore(h.work) {
+		return
+	}
 	for _, f := range flights {
 		f.SetReplica(holder)
 	}
@@ -153,7 +162,5 @@
 func (h *host) moveReplicas(silent string) {
 	holder := h.pickReplica(silent)
 	alive := func(name string) bool { return name != silent }
-	for _, f := range h.flights.Unprotected(alive) {
-		f.SetReplica(holder)
-	}
+	h.setReplicas(h.flights.Unprotected(alive), holder)
 }
