Record first tokens, complete the stand-ins, mend what reading found

Cause of the missing figure: a runner began its count after the replica had the request, so no time to a first token was ever recorded; all were gaps. The tests did not see it, since their network took no time: requests now take 0.5 ms there. With that delay the engine stand-in stopped a whole test: it wrote its report while it held its lock. Stand-ins now write without locks.

--- a/attempt.go
+++ b/attempt.go
@@ -128,17 +128,18 @@
 	return names
 }
 
-// account records the time since the last token.
+// account records the time to the first token, or since the last one.
 func (r *runner) account() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	class := string(r.job.Profile.Class)
-	if r.last.Equal(r.job.Arrived) || r.last.Before(r.job.Arrived) {
-		r.host.metrics.FirstToken(r.job.Organisation, class, now.Sub(r.job.Arrived))
-	} else {
+	if r.started {
 		r.host.metrics.Gap(r.job.Organisation, class, now.Sub(r.last))
+	} else {
+		r.host.metrics.FirstToken(r.job.Organisation, class, now.Sub(r.job.Arrived))
 	}
+	r.started = true
 	r.last = now
 	r.host.metrics.Tokens(r.job.Organisation, 1)
 }
--- a/cmd/persimstand/main.go
+++ b/cmd/persimstand/main.go
@@ -63,6 +63,7 @@
 			&cli.IntFlag{Name: "slots", Value: defaults.Slots, Usage: "run `N` streams together"},
 			&cli.DurationFlag{Name: "gap", Value: defaults.Gap, Usage: "take `TIME` for each token"},
 			&cli.DurationFlag{Name: "prefill", Value: defaults.Prefill, Usage: "take `TIME` for each prompt token"},
+			&cli.BoolFlag{Name: "fence", Usage: "refuse orders with old fencing numbers"},
 			&cli.StringFlag{Name: "salt", Usage: "make the text depend on `TEXT`"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
@@ -71,6 +72,7 @@
 			config.Slots = cmd.Int("slots")
 			config.Gap = cmd.Duration("gap")
 			config.Prefill = cmd.Duration("prefill")
+			config.CheckFence = cmd.Bool("fence")
 			config.Salt = cmd.String("salt")
 			return listen(cmd, persimstand.NewEngine(config).Handler())
 		},
--- a/deployment_test.go
+++ b/deployment_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonport.example/persimduration"
+	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplatform"
 	"persimmonport.example/persimprofile"
 	"persimmonport.example/persimsettings"
@@ -69,6 +70,7 @@
 	services map[string]*persimstand.Service
 	kills    map[string]context.CancelFunc
 	entries  []*entry
+	metrics  persimmetric.Metrics
 	root     context.Context
 	stop     context.CancelFunc
 }
@@ -83,10 +85,11 @@
 	drainLag    time.Duration
 	drainNotice time.Duration
 	listLag     time.Duration
+	metrics     persimmetric.Metrics
 }
 
 func defaultShape() shape {
-	return shape{hosts: 3, engines: 3, services: 2, exports: true, drainLag: 2 * time.Second, drainNotice: 8 * time.Second}
+	return shape{hosts: 3, engines: 3, services: 2, exports: true, drainLag: 2 * time.Second, drainNotice: 8 * time.Second, metrics: nullMetrics{}}
 }
 
 func centreOf(index int) string { return []string{"catania", "acireale", "siracusa"}[index%3] }
@@ -99,6 +102,7 @@
 		engines:  map[string]*persimstand.Engine{},
 		services: map[string]*persimstand.Service{},
 		kills:    map[string]context.CancelFunc{},
+		metrics:  s.metrics,
 	}
 	d.root, d.stop = context.WithCancel(context.Background())
 	d.net.listen(d.root, platformAddress, d.platform.Handler())
@@ -214,7 +218,7 @@
 	service, _ := persimupstream.NewService(persimupstream.WithTransport(outbound))
 	built, cleanup, err := New(e.settings,
 		WithLinks(memoryLinks{client: &http.Client{Transport: outbound}}),
-		WithPlatform(platform), WithEngine(engine), WithService(service), WithMetrics(nullMetrics{}))
+		WithPlatform(platform), WithEngine(engine), WithService(service), WithMetrics(d.metrics))
 	require.NoError(d.t, err)
 	e.host = built.(*host)
 	e.running.Store(e.host)
--- a/network_test.go
+++ b/network_test.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"persimmonport.example/persimwire"
 )
 
+// networkDelay is the time that a request takes to arrive.
+const networkDelay = 500 * time.Microsecond
+
 var errConnection = errors.New("connection lost")
 
 // network joins processes of a test in memory, so that they run in virtual time.
@@ -99,6 +103,7 @@
 		<-req.Context().Done()
 		return nil, req.Context().Err()
 	}
+	time.Sleep(networkDelay)
 	p := t.network.find(to)
 	if p == nil || t.alive.Err() != nil {
 		return nil, &net.OpError{Op: "dial", Err: errConnection}
--- a/persimstand/engine.go
+++ b/persimstand/engine.go
@@ -29,6 +29,10 @@
 	ReportLag time.Duration
 	// Salt makes the text of this engine differ from that of others.
 	Salt string
+	// EventLag is the age of cache events when they are published.
+	EventLag time.Duration
+	// CheckFence makes the engine refuse orders with an old fencing number.
+	CheckFence bool
 	// Exports says whether key-value caches can be exported.
 	Exports bool
 }
@@ -42,6 +46,7 @@
 		Prefill:      100 * time.Microsecond,
 		CachePrompts: 32,
 		ReportLag:    500 * time.Millisecond,
+		EventLag:     time.Second,
 		Exports:      true,
 	}
 }
@@ -63,6 +68,7 @@
 type Engine struct {
 	config EngineConfig
 	faults *faults
+	orders engineOrders
 
 	mu      sync.Mutex
 	streams map[string]*stream
@@ -80,6 +86,7 @@
 	return &Engine{
 		config:  config,
 		faults:  newFaults(),
+		orders:  engineOrders{checkFence: config.CheckFence, lag: config.EventLag},
 		streams: map[string]*stream{},
 		handles: map[string]persimupstream.Cache{},
 	}
@@ -103,6 +110,8 @@
 	mux.HandleFunc("DELETE /v1/streams/{id}", e.guard(e.cancel))
 	mux.HandleFunc("POST /v1/kv/export/{id}", e.guard(e.export))
 	mux.HandleFunc("POST /v1/kv/import", e.guard(e.load))
+	mux.HandleFunc("POST /v1/orders", e.guard(e.orders.take))
+	mux.HandleFunc("GET /v1/cache/events", e.guard(e.orders.list))
 	mux.HandleFunc("GET /load", e.guard(e.loadReport))
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
 	mux.HandleFunc("POST /fault", e.faults.handler(func() { os.Exit(1) }))
@@ -267,7 +276,11 @@
 
 func (e *Engine) remember(prompt string) {
 	e.cache = append(e.cache, prompt)
-	e.cache = e.cache[max(0, len(e.cache)-e.config.CachePrompts):]
+	e.orders.record(prompt, false)
+	if len(e.cache) > e.config.CachePrompts {
+		e.orders.record(e.cache[0], true)
+		e.cache = e.cache[1:]
+	}
 }
 
 func (e *Engine) token(prompt string, index int) string {
--- a/persimstand/platform.go
+++ b/persimstand/platform.go
@@ -114,6 +114,7 @@
 	mux.HandleFunc("GET /cloud/v1/notices", p.guard(p.listNotices))
 	mux.HandleFunc("POST /cloud/v1/start", p.guard(p.start))
 	mux.HandleFunc("POST /cloud/v1/stop", p.guard(p.stop))
+	mux.HandleFunc("GET /weights/{model}", newWeightStore().serve)
 	mux.HandleFunc("POST /fault", p.faults.handler(nil))
 	mux.HandleFunc("POST /admin/hosts", p.adminAdd)
 	mux.HandleFunc("POST /admin/reclaim", p.adminReclaim)
--- a/persimstand/stream.go
+++ b/persimstand/stream.go
@@ -134,12 +134,11 @@
 		http.Error(w, "no cache", http.StatusNotFound)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	tokens, _, _ := s.from(s.request.PriorLen)
 	writeJSON(w, persimupstream.Cache{
 		Handle: e.config.Incarnation + "/" + s.request.Stream,
 		Prompt: s.request.Prompt,
-		Tokens: len(strings.Fields(s.request.Prompt)) + s.request.PriorLen + len(s.tokens),
+		Tokens: len(strings.Fields(s.request.Prompt)) + s.request.PriorLen + len(tokens),
 	})
 }
 
@@ -155,6 +154,11 @@
 }
 
 func (e *Engine) loadReport(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.lateReport())
+}
+
+// lateReport returns the load as it was at the last report.
+func (e *Engine) lateReport() persimupstream.LoadReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if age := time.Since(e.at); age >= e.config.ReportLag {
@@ -168,5 +172,5 @@
 	}
 	report := e.report
 	report.AgeMillis = time.Since(e.at).Milliseconds()
-	writeJSON(w, report)
+	return report
 }
--- a/runner.go
+++ b/runner.go
@@ -62,6 +62,8 @@
 	winner  string
 	cancels map[string]context.CancelCauseFunc
 	last    time.Time
+	// started is set once a token has come.
+	started bool
 	ran     bool
 	cache   string
 }
@@ -111,6 +113,7 @@
 	r := h.newRunner(f, job, s, s.adopt(job))
 	r.number = int(state.GetAttempt())
 	r.ran = state.GetUpstream() != ""
+	r.started = len(state.GetTokens()) > 0
 	go r.continueFrom(state)
 }
 
@@ -324,10 +327,10 @@
 	state := r.flight.State(time.Now())
 	r.mu.Lock()
 	r.winner = ""
-	cache := r.cache
+	again := r.cache == "" && r.ran
 	r.mu.Unlock()
 	r.job = r.job.WithDone(len(state.GetTokens())).WithAvoid(r.avoided...)
-	if cache == "" && r.ran {
+	if again {
 		r.host.metrics.Recomputed(cause, r.job.PromptTokens+r.job.Done)
 	}
 	return r.scheduler.requeue(r.job, forced)
@@ -335,18 +338,21 @@
 
 func (r *runner) refuseBy(refusal persimpolicy.Refusal) {
 	wire := policyRefusal(refusal)
-	if r.ran {
+	if r.mayHaveRun() {
 		wire.Outcome = persimwire.Outcome_OUTCOME_UNKNOWN
 	}
 	r.flight.Refuse(wire)
 }
 
+func (r *runner) mayHaveRun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran
+}
+
 // refuse ends the request; it says "not run" only if no attempt may have run.
 func (r *runner) refuse(reason persimwire.Reason, message string) {
-	r.mu.Lock()
-	ran := r.ran
-	r.mu.Unlock()
-	if ran {
+	if r.mayHaveRun() {
 		r.flight.Refuse(unknown(reason, message))
 		return
 	}
