--- a/reader_test.go
+++ b/reader_test.go
@@ -23,6 +23,8 @@
 	end        *persimwire.End
 	refusal    *persimwire.Refusal
 	resumes    int
+	// last is the newest refusal after which another host was asked.
+	last *persimwire.Refusal
 	// turnedAway counts refusals after which another host was asked.
 	turnedAway int
 	longest    time.Duration
@@ -61,6 +63,7 @@
 		}
 		if ok && r.id == "" {
 			r.turnedAway++
+			r.last = refusal
 		}
 		if r.end == nil {
 			time.Sleep(readPause)
