--- a/cmd/persimmonport/main.go
+++ b/cmd/persimmonport/main.go
@@ -18,7 +18,7 @@
 		Usage:                 "serve an entry host between callers and upstreams",
 		Version:               version,
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{serveCommand(), checkCommand(), keysCommand()},
+		Commands:              []*cli.Command{serveCommand(), entryCommand(), checkCommand(), keysCommand()},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "persimmonport:", err)
--- /dev/null
+++ b/persimquota/quota.go
@@ -0,0 +1,220 @@
+// Package persimquota holds organisations to quotas that all hosts share, without
+// a call for each request.
+//
+// It answers this load: an organisation sends many times its usual to all hosts at
+// once while some hosts cannot hear each other. Each host counts what it admits
+// and learns what others admitted. For a host that it cannot hear it sets an equal
+// part of the rate aside, which is also all that the other one then allows itself.
+package persimquota
+
+import (
+	"time"
+
+	"persimmonport.example/persimcatalog"
+)
+
+const (
+	// DefaultSilence is the time after which a host counts as out of reach; hosts
+	// exchange several times a second.
+	DefaultSilence = 1200 * time.Millisecond
+	// DefaultOverdraft is the part of the permitted slack that may be used.
+	DefaultOverdraft = 0.25
+	// rateWindow is the time over which the rate of another host is averaged.
+	rateWindow = 2 * time.Second
+	// firstLevel is the part of a burst that is there at the start, since an earlier
+	// process may just have used the rest.
+	firstLevel = 0.5
+	minWait    = 50 * time.Millisecond
+)
+
+type config struct {
+	silence   time.Duration
+	overdraft float64
+}
+
+// An Option changes the configuration of a ledger of quotas.
+type Option func(*config)
+
+// WithSilence sets the time after which a host counts as out of reach.
+func WithSilence(silence time.Duration) Option { return func(c *config) { c.silence = silence } }
+
+// WithOverdraft sets how far, in units of the quota, admission may go beyond the level.
+func WithOverdraft(units float64) Option { return func(c *config) { c.overdraft = units } }
+
+// Quotas admits requests of organisations. It is not safe for concurrent use.
+type Quotas interface {
+	// SetQuotas replaces the quotas, by organisation.
+	SetQuotas(now time.Time, quotas map[string]persimcatalog.Quota)
+	// SetHosts replaces the other hosts.
+	SetHosts(now time.Time, hosts []string)
+	// Admit takes the cost from the organisation's quota, or returns the time after
+	// which there is room for it.
+	Admit(now time.Time, organisation string, cost float64) (time.Duration, bool)
+	// Refund returns the cost of a request that did not run.
+	Refund(organisation string, cost float64)
+	// Observe takes over what a host's incarnation admitted since its start.
+	Observe(now time.Time, host, incarnation string, admitted map[string]float64)
+	// Admitted returns what was admitted here since the start, by organisation.
+	Admitted() map[string]float64
+}
+
+type account struct {
+	quota    persimcatalog.Quota
+	level    float64
+	admitted float64
+}
+
+type peer struct {
+	incarnation string
+	heard       time.Time
+	admitted    map[string]float64
+	rates       map[string]float64
+	// presumed is what was set aside since the host was last heard.
+	presumed map[string]float64
+}
+
+type quotas struct {
+	config
+	at       time.Time
+	accounts map[string]*account
+	peers    map[string]*peer
+}
+
+// New returns a ledger without quotas.
+func New(opts ...Option) Quotas {
+	c := config{silence: DefaultSilence}
+	for _, opt := range opts {
+		opt(&c)
+	}
+	return &quotas{config: c, accounts: map[string]*account{}, peers: map[string]*peer{}}
+}
+
+func (q *quotas) SetQuotas(now time.Time, limits map[string]persimcatalog.Quota) {
+	q.refill(now)
+	for name, quota := range limits {
+		known, ok := q.accounts[name]
+		if !ok {
+			q.accounts[name] = &account{quota: quota, level: quota.Burst * firstLevel}
+			continue
+		}
+		known.quota = quota
+		known.level = min(known.level, quota.Burst)
+	}
+	for name := range q.accounts {
+		if _, ok := limits[name]; !ok {
+			delete(q.accounts, name)
+		}
+	}
+}
+
+func (q *quotas) SetHosts(now time.Time, hosts []string) {
+	q.refill(now)
+	next := map[string]*peer{}
+	for _, host := range hosts {
+		known, ok := q.peers[host]
+		if !ok {
+			known = newPeer("", now)
+		}
+		next[host] = known
+	}
+	q.peers = next
+}
+
+func newPeer(incarnation string, now time.Time) *peer {
+	return &peer{
+		incarnation: incarnation,
+		heard:       now,
+		admitted:    map[string]float64{},
+		rates:       map[string]float64{},
+		presumed:    map[string]float64{},
+	}
+}
+
+// refill adds what the rates give and sets aside what silent hosts may use.
+func (q *quotas) refill(now time.Time) {
+	elapsed := now.Sub(q.at).Seconds()
+	if q.at.IsZero() || elapsed <= 0 {
+		q.at = now
+		return
+	}
+	q.at = now
+	for name, a := range q.accounts {
+		gained := a.quota.PerSecond * elapsed
+		for _, p := range q.peers {
+			used := q.presumption(p, name, a, now) * elapsed
+			p.presumed[name] += used
+			gained -= used
+		}
+		a.level = min(a.level+gained, a.quota.Burst)
+	}
+}
+
+// presumption is the rate that another host is taken to use just now.
+func (q *quotas) presumption(p *peer, organisation string, a *account, now time.Time) float64 {
+	share := a.quota.PerSecond / float64(len(q.peers)+1)
+	if now.Sub(p.heard) > q.silence {
+		return share
+	}
+	return p.rates[organisation]
+}
+
+func (q *quotas) Admit(now time.Time, organisation string, cost float64) (time.Duration, bool) {
+	a, ok := q.accounts[organisation]
+	if !ok || a.quota.PerSecond <= 0 {
+		return 0, true
+	}
+	q.refill(now)
+	if a.level-cost < -q.overdraft && a.level < a.quota.Burst {
+		missing := min(cost-q.overdraft, a.quota.Burst) - a.level
+		wait := time.Duration(missing / a.quota.PerSecond * float64(time.Second))
+		return max(wait, minWait), false
+	}
+	a.level -= cost
+	a.admitted += cost
+	return 0, true
+}
+
+func (q *quotas) Refund(organisation string, cost float64) {
+	if a, ok := q.accounts[organisation]; ok {
+		a.level += cost
+		a.admitted -= cost
+	}
+}
+
+func (q *quotas) Observe(now time.Time, host, incarnation string, admitted map[string]float64) {
+	p, ok := q.peers[host]
+	if !ok {
+		return
+	}
+	q.refill(now)
+	if p.incarnation != incarnation {
+		known := p.incarnation != ""
+		presumed := p.presumed
+		p = newPeer(incarnation, now)
+		p.presumed = presumed
+		q.peers[host] = p
+		if !known {
+			p.admitted = admitted
+		}
+	}
+	elapsed := now.Sub(p.heard).Seconds()
+	p.heard = now
+	for name, a := range q.accounts {
+		used := admitted[name] - p.admitted[name]
+		a.level += p.presumed[name] - used
+		p.presumed[name] = 0
+		if elapsed > 0 {
+			weight := min(1, elapsed/rateWindow.Seconds())
+			p.rates[name] += (max(0, used)/elapsed - p.rates[name]) * weight
+		}
+	}
+	p.admitted = admitted
+}
+
+func (q *quotas) Admitted() map[string]float64 {
+	sums := make(map[string]float64, len(q.accounts))
+	for name, a := range q.accounts {
+		sums[name] = a.admitted
+	}
+	return sums
+}
