Plan upstreams from unread tokens, share proofs of freshness between hosts

Cause: the planner let on-demand upstreams go before traffic and ordered for the most tokens a prompt may have; each host read the store twice a second.

--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -25,9 +25,12 @@
 
 // Intervals of duties.
 const (
-	configInterval = 500 * time.Millisecond
-	rosterInterval = 500 * time.Millisecond
-	hostsInterval  = 2 * time.Second
+	// freshTick is how often a host looks whether its knowledge is older than
+	// configAge or rosterAge; it then reads the store itself.
+	freshTick     = 100 * time.Millisecond
+	configAge     = 600 * time.Millisecond
+	rosterAge     = 450 * time.Millisecond
+	hostsInterval = 2 * time.Second
 	leaseInterval  = 300 * time.Millisecond
 	// leaseReadInterval is how often a host that does not hold the lease reads it.
 	leaseReadInterval = time.Second
--- a/persimentry/follow.go
+++ b/persimentry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"hash/fnv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -20,8 +21,10 @@
 
 func (e *entry) followCatalogue(ctx context.Context) {
 	store := &dependency{name: "store, configuration"}
-	every(ctx, configInterval, func(ctx context.Context) {
-		store.note(e.readCatalogue(ctx))
+	every(ctx, freshTick, func(ctx context.Context) {
+		if age, known := e.front.Age(); !known || age >= configAge {
+			store.note(e.readCatalogue(ctx))
+		}
 	})
 }
 
@@ -63,6 +66,7 @@
 	revision  int64
 	confirmed persimclock.Instant
 	objects   []platform.Object
+	digest    uint64
 	failing   bool
 	// returned is when the store answered again after it had been away.
 	returned persimclock.Instant
@@ -74,7 +78,10 @@
 
 func (e *entry) followRoster(ctx context.Context) {
 	store := &dependency{name: "store, upstreams"}
-	every(ctx, rosterInterval, func(ctx context.Context) {
+	every(ctx, freshTick, func(ctx context.Context) {
+		if e.rosterAge() < rosterAge {
+			return
+		}
 		asked := persimclock.Now()
 		objects, revision, err := e.objects.List(ctx, platform.UpstreamKind)
 		store.note(err)
@@ -88,6 +95,29 @@
 	})
 }
 
+func (e *entry) rosterAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return persimclock.Now().Sub(e.rosterAt.confirmed)
+}
+
+// digest returns a number that tells the contents of lists apart.
+func digest(objects []platform.Object) uint64 {
+	sum := fnv.New64a()
+	for _, object := range objects {
+		_, _ = sum.Write([]byte(object.Name))
+		_, _ = sum.Write(object.Spec)
+	}
+	return sum.Sum64()
+}
+
+// confirmRoster records that the list of upstreams was the newest one at an instant.
+func (e *entry) confirmRoster(confirmed persimclock.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rosterAt.confirmed = max(e.rosterAt.confirmed, confirmed)
+}
+
 // applyRoster takes over a list of upstreams that was the newest one at an instant.
 func (e *entry) applyRoster(objects []platform.Object, revision int64, confirmed persimclock.Instant, source string) {
 	e.mu.Lock()
@@ -102,6 +132,7 @@
 	e.rosterAt.revision = revision
 	e.rosterAt.confirmed = confirmed
 	e.rosterAt.objects = objects
+	e.rosterAt.digest = digest(objects)
 	list := make([]persimcatalog.Upstream, 0, len(objects))
 	for _, object := range objects {
 		upstream, err := platform.DecodeUpstream(object.Name, object.Spec)
--- a/persimentry/peers.go
+++ b/persimentry/peers.go
@@ -255,9 +255,6 @@
 	return e.state(ask)
 }
 
-// snapshotAge is the age of a snapshot from which on a host asks others for theirs.
-const snapshotAge = 1200 * time.Millisecond
-
 // state returns what this host tells. With an ask, it adds the snapshots that the
 // other host lacks.
 func (e *entry) state(ask *persimwire.Exchange) *persimwire.Exchange {
@@ -281,6 +278,7 @@
 		Roster: &persimwire.Snapshot{
 			Version: e.rosterAt.revision,
 			AgeMs:   now.Sub(e.rosterAt.confirmed).Milliseconds(),
+			Digest:  e.rosterAt.digest,
 		},
 	}
 	if known {
@@ -303,7 +301,7 @@
 	if ask.GetCatalogue().GetVersion() < e.raw.version {
 		state.Catalogue.Items = []*persimwire.Item{{Name: platform.ConfigName, Value: e.raw.spec}}
 	}
-	if ask.GetRoster().GetVersion() < e.rosterAt.revision && ask.GetRoster().GetAgeMs() > snapshotAge.Milliseconds() {
+	if ask.GetRoster().GetVersion() < e.rosterAt.revision && ask.GetRoster().GetDigest() != e.rosterAt.digest {
 		for _, object := range e.rosterAt.objects {
 			state.Roster.Items = append(state.Roster.Items, &persimwire.Item{Name: object.Name, Value: object.Spec})
 		}
@@ -360,7 +358,19 @@
 	if same && catalogue.GetAgeMs() < unknownAge {
 		e.front.Confirm(confirmed)
 	}
+	e.learnRoster(told, asked)
+}
+
+func (e *entry) learnRoster(told *persimwire.Exchange, asked persimclock.Instant) {
 	roster := told.GetRoster()
+	confirmed := asked.Add(-time.Duration(roster.GetAgeMs()) * time.Millisecond)
+	e.mu.Lock()
+	same := roster.GetDigest() == e.rosterAt.digest && roster.GetVersion() > 0
+	e.mu.Unlock()
+	if same {
+		e.confirmRoster(confirmed)
+		return
+	}
 	if len(roster.GetItems()) == 0 {
 		return
 	}
@@ -368,7 +378,6 @@
 	for _, item := range roster.GetItems() {
 		objects = append(objects, platform.Object{Name: item.GetName(), Spec: item.GetValue()})
 	}
-	confirmed = asked.Add(-time.Duration(roster.GetAgeMs()) * time.Millisecond)
 	e.applyRoster(objects, roster.GetVersion(), confirmed, told.GetHost())
 }
 
--- a/persimfleet/upstreams.go
+++ b/persimfleet/upstreams.go
@@ -10,26 +10,30 @@
 )
 
 const (
-	// DefaultUtilisation is the share of their time that upstreams should work; the
-	// rest keeps first answers on time when requests come in clumps.
-	DefaultUtilisation = 0.3
-	// reclaimRefusalPause is the time after which a refused order is made again.
-	reclaimRefusalPause = 2 * time.Second
-	// repeatPause is the time after which an order that shows no effect is made again,
-	// beyond the time that an upstream needs to start.
+	// cheapUtilisation is the share of their time that reclaimable upstreams should
+	// work while all are there: what is left of them when one data centre after the
+	// other goes still carries most of the load.
+	cheapUtilisation = 0.2
+	// fullUtilisation is the share beyond which upstreams on demand are ordered;
+	// above it, requests that come in clumps wait too long.
+	fullUtilisation = 0.4
+	// refusalPause is the time after which a refused order is made again.
+	refusalPause = 1500 * time.Millisecond
+	// repeatPause is the time after which an order that shows no effect is made
+	// again, beyond the time that an upstream needs to start.
 	repeatPause = 2 * time.Second
-	// releasePause is the time for which upstreams on demand are kept after they
-	// were last needed.
-	releasePause = 4 * time.Second
-	// prefillPerSecond and outputPerSecond are the prompt tokens that an upstream
-	// reads and the tokens that it generates in a second, each alone.
+	// holdTime is how long upstreams on demand are kept after they were last needed.
+	holdTime = 4 * time.Second
+	// prefillPerSecond is the number of prompt tokens that an upstream reads in a
+	// second, outputPerSecond the tokens that it generates beside that.
 	prefillPerSecond = 100_000
-	outputPerSecond  = 16_000
-	// unreadShare is the part of prompts that is not cached.
-	unreadShare = 0.65
+	outputPerSecond  = 60_000
+	// peakFall is the time in which the planned load falls by two thirds.
+	peakFall = 15 * time.Second
 )
 
-// A Load is the work that arrives for a service, for each second.
+// A Load is the work that arrives for a service, for each second: prompt tokens
+// that are not cached, and tokens to generate.
 type Load struct {
 	Tokens float64
 	Output float64
@@ -37,7 +41,7 @@
 
 // Work returns the number of upstreams that the load keeps busy all the time.
 func (l Load) Work() float64 {
-	return l.Tokens*unreadShare/prefillPerSecond + l.Output/outputPerSecond
+	return l.Tokens/prefillPerSecond + l.Output/outputPerSecond
 }
 
 // A Stock is a kind of upstreams of a service.
@@ -72,62 +76,77 @@
 	refused bool
 }
 
+// held is the largest number of upstreams on demand that was wanted lately.
+type held struct {
+	count int
+	at    time.Time
+}
+
 type upstreamPlanner struct {
-	utilisation float64
-	orders      map[Stock]placed
-	// needed is when upstreams on demand were last needed, by data centre.
-	needed map[string]time.Time
-	// peak is the load that is planned for; it rises at once and falls slowly.
+	orders map[Stock]placed
+	holds  map[string]held
+	// first is the number of upstreams that were there before any work was seen.
+	first int
+	began time.Time
+	// peak is the work that is planned for; it rises at once and falls slowly.
 	peak   float64
 	peakAt time.Time
 }
 
 // NewUpstreamPlanner returns a planner that has ordered nothing.
 func NewUpstreamPlanner() UpstreamPlanner {
-	return &upstreamPlanner{
-		utilisation: DefaultUtilisation,
-		orders:      map[Stock]placed{},
-		needed:      map[string]time.Time{},
-	}
+	return &upstreamPlanner{orders: map[Stock]placed{}, holds: map[string]held{}}
 }
 
-// peakFall is the time in which the planned load falls by two thirds.
-const peakFall = 12 * time.Second
-
-func (p *upstreamPlanner) follow(now time.Time, work float64) float64 {
+// follow returns the work to plan for. Before any was seen, it is what the
+// upstreams that are there are taken to be meant for.
+func (p *upstreamPlanner) follow(now time.Time, work float64, upstreams int) float64 {
+	if p.peak == 0 && work == 0 {
+		p.first = max(p.first, upstreams)
+		return float64(p.first) * fullUtilisation
+	}
 	fallen := p.peak * math.Exp(-now.Sub(p.peakAt).Seconds()/peakFall.Seconds())
 	if p.peakAt.IsZero() {
-		fallen = 0
+		fallen = float64(p.first) * fullUtilisation
 	}
 	p.peak = max(work, fallen)
 	p.peakAt = now
 	return p.peak
 }
 
+// settleTime is how long the upstreams are looked at before anything is ordered:
+// they register one after the other.
+const settleTime = 2 * time.Second
+
 func (p *upstreamPlanner) Plan(now time.Time, scaling persimcatalog.Scaling, upstreams []persimcatalog.Upstream, load Load) []UpstreamOrder {
 	centres := sortedCentres(scaling)
 	if len(centres) == 0 {
 		return nil
 	}
+	if p.began.IsZero() {
+		p.began = now
+	}
+	work := p.follow(now, load.Work(), len(upstreams))
+	if now.Sub(p.began) < settleTime || len(upstreams) == 0 {
+		return nil
+	}
+	stock := count(upstreams)
+	wanted := p.wantCheap(scaling, centres, work)
+	p.wantOnDemand(now, scaling, centres, stock, wanted, work)
+	return p.changes(now, scaling, wanted, stock)
+}
+
+func count(upstreams []persimcatalog.Upstream) map[Stock]int {
 	stock := map[Stock]int{}
 	for _, upstream := range upstreams {
 		if !upstream.Leaving {
 			stock[Stock{Centre: upstream.Centre, Reclaimable: upstream.Reclaimable}]++
 		}
 	}
-	need := p.need(now, load, len(centres))
-	wanted := p.want(now, scaling, centres, stock, need)
-	return p.changes(now, scaling, wanted, stock)
-}
-
-// minNeed is the least number of upstreams for each data centre.
-const minNeed = 1
-
-func (p *upstreamPlanner) need(now time.Time, load Load, centres int) int {
-	work := p.follow(now, load.Work())
-	return max(int(math.Ceil(work/p.utilisation)), minNeed*centres)
+	return stock
 }
 
+// sortedCentres returns the data centres, cheapest first.
 func sortedCentres(scaling persimcatalog.Scaling) []string {
 	centres := make([]string, 0, len(scaling.CentrePrices))
 	for centre := range scaling.CentrePrices {
@@ -139,69 +158,90 @@
 	return centres
 }
 
-// want returns how many upstreams of each kind should be there. Reclaimable ones
-// are held so that what is left carries the load when a data centre goes; what is
-// missing is ordered on demand, where it is cheapest.
-func (p *upstreamPlanner) want(now time.Time, scaling persimcatalog.Scaling, centres []string, stock map[Stock]int, need int) map[Stock]int {
+// wantCheap spreads reclaimable upstreams over the data centres.
+func (p *upstreamPlanner) wantCheap(scaling persimcatalog.Scaling, centres []string, work float64) map[Stock]int {
 	wanted := map[Stock]int{}
-	cheap := 0
-	share := perCentre(need, len(centres))
+	share := int(math.Ceil(work / cheapUtilisation / float64(len(centres))))
 	for _, centre := range centres {
-		kind := Stock{Centre: centre, Reclaimable: true}
-		wanted[kind] = min(max(share, scaling.Min), scaling.Max)
-		cheap += stock[kind]
+		wanted[Stock{Centre: centre, Reclaimable: true}] = min(max(share, scaling.Min), scaling.Max)
 	}
-	missing := need - cheap
+	return wanted
+}
+
+// wantOnDemand adds upstreams on demand for what the reclaimable ones lack, where
+// they are cheapest.
+func (p *upstreamPlanner) wantOnDemand(now time.Time, scaling persimcatalog.Scaling, centres []string, stock, wanted map[Stock]int, work float64) {
+	missing := int(math.Ceil(work / fullUtilisation))
 	for _, centre := range centres {
+		missing -= p.expected(now, scaling, Stock{Centre: centre, Reclaimable: true}, stock)
+	}
+	for _, centre := range centres {
+		room := scaling.Max - p.expected(now, scaling, Stock{Centre: centre, Reclaimable: true}, stock)
+		need := min(max(0, missing), max(0, room))
+		missing -= need
 		kind := Stock{Centre: centre}
-		room := max(0, scaling.Max-max(stock[Stock{Centre: centre, Reclaimable: true}], 0))
-		count := min(max(0, missing), room)
-		missing -= count
-		if count > 0 {
-			p.needed[centre] = now
-		}
-		if count < stock[kind] && now.Sub(p.needed[centre]) < releasePause {
-			count = min(stock[kind], room)
-		}
-		wanted[kind] = count
-		if free := scaling.Max - count; wanted[Stock{Centre: centre, Reclaimable: true}] > free {
-			wanted[Stock{Centre: centre, Reclaimable: true}] = free
-		}
+		wanted[kind] = min(p.hold(now, centre, need), max(0, room))
+		cheap := Stock{Centre: centre, Reclaimable: true}
+		wanted[cheap] = min(wanted[cheap], scaling.Max-wanted[kind])
 	}
-	return wanted
 }
 
-// perCentre is the number of upstreams in a data centre with which the others
-// carry the load when one goes.
-func perCentre(need, centres int) int {
-	if centres < 2 {
+// expected is the number of upstreams of a kind that are there or about to start.
+func (p *upstreamPlanner) expected(now time.Time, scaling persimcatalog.Scaling, kind Stock, stock map[Stock]int) int {
+	order, ok := p.orders[kind]
+	starting := ok && !order.refused && now.Sub(order.at) < scaling.Boot+repeatPause
+	if starting && p.peak > 0 {
+		return max(stock[kind], order.count)
+	}
+	return stock[kind]
+}
+
+// hold keeps a number that was wanted for a while.
+func (p *upstreamPlanner) hold(now time.Time, centre string, need int) int {
+	known := p.holds[centre]
+	if need >= known.count || now.Sub(known.at) > holdTime {
+		p.holds[centre] = held{count: need, at: now}
 		return need
 	}
-	return (need + centres - 2) / (centres - 1)
+	return known.count
 }
 
 func (p *upstreamPlanner) changes(now time.Time, scaling persimcatalog.Scaling, wanted, stock map[Stock]int) []UpstreamOrder {
 	var orders []UpstreamOrder
 	for kind, count := range wanted {
-		last, ordered := p.orders[kind]
-		if !ordered && count == stock[kind] {
-			continue
+		if p.due(now, scaling, kind, count, stock[kind]) {
+			orders = append(orders, UpstreamOrder{Stock: kind, Count: count})
 		}
-		if ordered && last.refused && now.Sub(last.at) < reclaimRefusalPause {
-			continue
-		}
-		settled := now.Sub(last.at) > scaling.Boot+repeatPause
-		if ordered && !last.refused && last.count == count && (count == stock[kind] || !settled) {
-			continue
-		}
-		orders = append(orders, UpstreamOrder{Stock: kind, Count: count})
 	}
 	slices.SortFunc(orders, func(a, b UpstreamOrder) int {
-		return cmp.Or(cmp.Compare(a.Centre, b.Centre), cmp.Compare(b.Count, a.Count))
+		return cmp.Or(cmp.Compare(a.Count-stock[a.Stock], b.Count-stock[b.Stock]), cmp.Compare(a.Centre, b.Centre))
 	})
 	return orders
 }
 
+// due reports whether to order a count of a kind of which there are some.
+func (p *upstreamPlanner) due(now time.Time, scaling persimcatalog.Scaling, kind Stock, count, there int) bool {
+	last, ordered := p.orders[kind]
+	if !ordered {
+		return count != there
+	}
+	if last.refused {
+		return count != there && now.Sub(last.at) >= refusalPause
+	}
+	if last.count == count {
+		return count != there && now.Sub(last.at) > scaling.Boot+repeatPause
+	}
+	// Fewer reclaimable upstreams are ordered only when many are spare, since a
+	// load that comes and goes would make them start and stop.
+	if kind.Reclaimable && count < last.count && count > last.count-cheapSlack && there <= scaling.Max {
+		return false
+	}
+	return true
+}
+
+// cheapSlack is the number of reclaimable upstreams that may be spare in a data centre.
+const cheapSlack = 2
+
 func (p *upstreamPlanner) Ordered(now time.Time, order UpstreamOrder) {
 	p.orders[order.Stock] = placed{count: order.Count, at: now}
 }
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -182,10 +182,9 @@
 	}
 	if sized {
 		c.need = needOf(prompt)
-		size.Tokens = float64(prompt.Tokens)
 		size.Output = float64(prompt.Output)
 		if organisation.Quota.InTokens {
-			c.cost = size.Tokens + size.Output
+			c.cost = float64(prompt.Tokens + prompt.Output)
 		}
 	}
 	c.need.Centre = c.front.centre
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -115,6 +115,9 @@
 		return choice, &refusal{status: http.StatusServiceUnavailable, cause: "no upstream", wait: maxRetry}
 	}
 	allowed := min(c.until.Sub(now), c.allowed())
+	if c.attempts == 0 {
+		f.desk.count(now, c.service, Demand{Tokens: float64(choice.Read)})
+	}
 	if c.attempts == 0 && choice.Expected > allowed {
 		f.desk.count(now, c.service, Demand{Refused: 1})
 		return choice, &refusal{
