Test the pure packages; keep hosts from spending one quota level each

A host now uses a third of a low level before it hears the others. Also: the planner moved on-demand upstreams to the cheapest data centre before reclaimable ones had started, and did not order again what a reclaim took when the wish had fallen by one.

--- /dev/null
+++ b/persimduty/usage_test.go
@@ -0,0 +1,31 @@
+package persimduty
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestUsageSumsHosts(t *testing.T) {
+	u := NewUsage(5 * time.Second)
+	at := time.Unix(1000, 0)
+	u.Count(at, "o")
+	u.Count(at.Add(4*time.Second), "o")
+	u.Count(at.Add(5*time.Second), "o")
+	u.Observe("b 1", map[int64]Counts{200: {"o": 3, "p": 1}})
+	u.Observe("b 2", map[int64]Counts{200: {"o": 1}})
+	u.Observe("b 2", map[int64]Counts{200: {"o": 2}})
+	require.EqualValues(t, 200, u.Window(at))
+	require.Equal(t, Counts{"o": 7, "p": 1}, u.Sum(200))
+	require.Equal(t, Counts{"o": 1}, u.Sum(201))
+	require.Equal(t, 2, u.Sources(200))
+}
+
+func TestUsageForgets(t *testing.T) {
+	u := NewUsage(time.Second)
+	for second := range int64(100) {
+		u.Count(time.Unix(second, 0), "o")
+	}
+	require.LessOrEqual(t, len(u.Own()), keptWindows+1)
+}
--- a/persimfleet/upstreams.go
+++ b/persimfleet/upstreams.go
@@ -175,17 +175,33 @@
 	for _, centre := range centres {
 		missing -= p.expected(now, scaling, Stock{Centre: centre, Reclaimable: true}, stock)
 	}
+	need := p.divide(now, scaling, centres, stock, max(0, missing))
 	for _, centre := range centres {
-		room := scaling.Max - p.expected(now, scaling, Stock{Centre: centre, Reclaimable: true}, stock)
-		need := min(max(0, missing), max(0, room))
-		missing -= need
-		kind := Stock{Centre: centre}
-		wanted[kind] = min(p.hold(now, centre, need), max(0, room))
 		cheap := Stock{Centre: centre, Reclaimable: true}
+		room := max(0, scaling.Max-p.expected(now, scaling, cheap, stock))
+		kind := Stock{Centre: centre}
+		wanted[kind] = min(p.hold(now, centre, need[centre]), room)
 		wanted[cheap] = min(wanted[cheap], scaling.Max-wanted[kind])
 	}
 }
 
+// divide spreads upstreams on demand over the data centres: first where some are,
+// then where they are cheapest.
+func (p *upstreamPlanner) divide(now time.Time, scaling persimcatalog.Scaling, centres []string, stock map[Stock]int, missing int) map[string]int {
+	need := map[string]int{}
+	for _, centre := range centres {
+		need[centre] = min(missing, stock[Stock{Centre: centre}])
+		missing -= need[centre]
+	}
+	for _, centre := range centres {
+		room := scaling.Max - p.expected(now, scaling, Stock{Centre: centre, Reclaimable: true}, stock) - need[centre]
+		more := min(missing, max(0, room))
+		need[centre] += more
+		missing -= more
+	}
+	return need
+}
+
 // expected is the number of upstreams of a kind that are there or about to start.
 func (p *upstreamPlanner) expected(now time.Time, scaling persimcatalog.Scaling, kind Stock, stock map[Stock]int) int {
 	order, ok := p.orders[kind]
@@ -196,10 +212,10 @@
 	return stock[kind]
 }
 
-// hold keeps a number that was wanted for a while.
+// hold keeps a number that was wanted under load for a while.
 func (p *upstreamPlanner) hold(now time.Time, centre string, need int) int {
 	known := p.holds[centre]
-	if need >= known.count || now.Sub(known.at) > holdTime {
+	if need >= known.count || now.Sub(known.at) > holdTime || p.peak == 0 {
 		p.holds[centre] = held{count: need, at: now}
 		return need
 	}
@@ -233,7 +249,7 @@
 	}
 	// Fewer reclaimable upstreams are ordered only when many are spare, since a
 	// load that comes and goes would make them start and stop.
-	if kind.Reclaimable && count < last.count && count > last.count-cheapSlack && there <= scaling.Max {
+	if kind.Reclaimable && count < last.count && count > last.count-cheapSlack && there >= count {
 		return false
 	}
 	return true
--- a/persimfront/desk.go
+++ b/persimfront/desk.go
@@ -15,7 +15,7 @@
 const (
 	// overdraftShare is the part of the permitted slack of a quota that is used, so
 	// that hosts which learn of each other late stay within the rest.
-	overdraftShare = 0.25
+	overdraftShare = 0.1
 	// budgetShare is the part of the permitted retries that is used.
 	budgetShare = 0.7
 	// lateShare is how far beyond its target a first answer may be expected.
--- a/persimquota/quota.go
+++ b/persimquota/quota.go
@@ -17,14 +17,17 @@
 	// DefaultSilence is the time after which a host counts as out of reach; hosts
 	// exchange several times a second.
 	DefaultSilence = 1200 * time.Millisecond
-	// DefaultOverdraft is the part of the permitted slack that may be used.
-	DefaultOverdraft = 0.25
 	// rateWindow is the time over which the rate of another host is averaged.
 	rateWindow = 2 * time.Second
 	// firstLevel is the part of a burst that is there at the start, since an earlier
 	// process may just have used the rest.
 	firstLevel = 0.5
 	minWait    = 50 * time.Millisecond
+	// ownShare is the part of a low level that one host uses before it hears from
+	// the others again, which see the same level.
+	ownShare = 0.34
+	// ample is the part of a burst above which a host uses the level as it likes.
+	ample = 0.5
 )
 
 type config struct {
@@ -62,6 +65,8 @@
 	quota    persimcatalog.Quota
 	level    float64
 	admitted float64
+	// unheard is what was admitted here since the other hosts were heard.
+	unheard float64
 }
 
 type peer struct {
@@ -164,16 +169,44 @@
 		return 0, true
 	}
 	q.refill(now)
-	if a.level-cost < -q.overdraft && a.level < a.quota.Burst {
+	if !q.covered(now, a, cost) {
 		missing := min(cost-q.overdraft, a.quota.Burst) - a.level
 		wait := time.Duration(missing / a.quota.PerSecond * float64(time.Second))
 		return max(wait, minWait), false
 	}
 	a.level -= cost
 	a.admitted += cost
+	a.unheard += cost
 	return 0, true
 }
 
+// covered reports whether the level has room for a cost.
+func (q *quotas) covered(now time.Time, a *account, cost float64) bool {
+	if a.level >= a.quota.Burst {
+		return true
+	}
+	if a.level-cost < -q.overdraft {
+		return false
+	}
+	if a.level-cost > a.quota.Burst*ample {
+		return true
+	}
+	usable := (a.level + a.unheard + q.overdraft) * q.share(now)
+	return a.unheard == 0 || a.unheard+cost <= usable
+}
+
+// share is the part of the level that this host may use unheard. What is left for
+// silent hosts was set aside already.
+func (q *quotas) share(now time.Time) float64 {
+	reached := 1
+	for _, p := range q.peers {
+		if now.Sub(p.heard) <= q.silence {
+			reached++
+		}
+	}
+	return max(ownShare, 1/float64(reached))
+}
+
 func (q *quotas) Refund(organisation string, cost float64) {
 	if a, ok := q.accounts[organisation]; ok {
 		a.level += cost
@@ -202,6 +235,7 @@
 	for name, a := range q.accounts {
 		used := admitted[name] - p.admitted[name]
 		a.level += p.presumed[name] - used
+		a.unheard -= a.unheard / float64(len(q.peers))
 		p.presumed[name] = 0
 		if elapsed > 0 {
 			weight := min(1, elapsed/rateWindow.Seconds())
--- /dev/null
+++ b/persimquota/quota_test.go
@@ -0,0 +1,185 @@
+package persimquota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonport.example/persimcatalog"
+)
+
+const (
+	testRate     = 300_000.0
+	testSlack    = 140_000.0
+	testWindow   = 8 * time.Second
+	testOver     = 0.1
+	testHosts    = 9
+	testExchange = 200 * time.Millisecond
+	testTick     = 10 * time.Millisecond
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// cluster runs hosts that exchange what they admitted, in virtual time.
+type cluster struct {
+	hosts  []Quotas
+	births []string
+	cut    map[int]bool
+	// admitted are the costs admitted in each tick.
+	admitted []float64
+	refused  int
+	// due is what is offered and not sent yet.
+	due float64
+}
+
+func newCluster(hosts int) *cluster {
+	c := &cluster{cut: map[int]bool{}}
+	for i := range hosts {
+		c.hosts = append(c.hosts, c.newHost(i, hosts, start))
+		c.births = append(c.births, "first")
+	}
+	return c
+}
+
+func (c *cluster) newHost(self, hosts int, now time.Time) Quotas {
+	q := New(WithOverdraft(testSlack * 0.1))
+	q.SetQuotas(now, map[string]persimcatalog.Quota{"o": {PerSecond: testRate, Burst: testRate}})
+	var others []string
+	for i := range hosts {
+		if i != self {
+			others = append(others, fmt.Sprint(i))
+		}
+	}
+	q.SetHosts(now, others)
+	return q
+}
+
+func (c *cluster) exchange(now time.Time) {
+	for i, to := range c.hosts {
+		for j, from := range c.hosts {
+			if i != j && !c.cut[i] && !c.cut[j] {
+				to.Observe(now, fmt.Sprint(j), c.births[j], from.Admitted())
+			}
+		}
+	}
+}
+
+// run offers a multiple of the rate, spread unevenly over the hosts.
+func (c *cluster) run(random *rand.Rand, from, length time.Duration, multiple float64, each func(time.Duration)) {
+	for at := from; at < from+length; at += testTick {
+		now := start.Add(at)
+		if at%testExchange == 0 {
+			c.exchange(now)
+		}
+		if each != nil {
+			each(at)
+		}
+		c.due += testRate * multiple * testTick.Seconds()
+		sum := 0.0
+		for c.due > 0 {
+			cost := 2000 + random.ExpFloat64()*6000
+			c.due -= cost
+			host := random.IntN(len(c.hosts))
+			if _, ok := c.hosts[host].Admit(now, "o", cost); ok {
+				sum += cost
+			} else {
+				c.refused++
+			}
+		}
+		c.admitted = append(c.admitted, sum)
+	}
+}
+
+// requireWithin checks every window against the bound that the users state.
+func (c *cluster) requireWithin(t *testing.T) {
+	t.Helper()
+	bound := (testRate*testWindow.Seconds()+testRate)*(1+testOver) + testSlack
+	ticks := int(testWindow / testTick)
+	sum := 0.0
+	for i, cost := range c.admitted {
+		sum += cost
+		if i >= ticks {
+			sum -= c.admitted[i-ticks]
+		}
+		require.LessOrEqual(t, sum, bound, "window that ends at tick %d", i)
+	}
+}
+
+func TestQuotaHoldsOverHosts(t *testing.T) {
+	for name, multiple := range map[string]float64{"twice": 2, "seven times": 7} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(testHosts)
+			c.run(rand.New(rand.NewPCG(1, 1)), 0, 30*time.Second, multiple, nil)
+			c.requireWithin(t)
+			total := 0.0
+			for _, cost := range c.admitted {
+				total += cost
+			}
+			require.Greater(t, total, testRate*30*0.9, "what the quota allows is admitted")
+		})
+	}
+}
+
+func TestQuotaAdmitsBelowLimit(t *testing.T) {
+	c := newCluster(testHosts)
+	c.run(rand.New(rand.NewPCG(2, 1)), 0, 30*time.Second, 0.55, nil)
+	require.Zero(t, c.refused)
+}
+
+func TestQuotaHoldsWithHostsCutOff(t *testing.T) {
+	for cut := 1; cut < testHosts; cut++ {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			c := newCluster(testHosts)
+			random := rand.New(rand.NewPCG(3, uint64(cut)))
+			c.run(random, 0, 10*time.Second, 7, nil)
+			for i := range cut {
+				c.cut[i] = true
+			}
+			c.run(random, 10*time.Second, 12*time.Second, 7, nil)
+			c.cut = map[int]bool{}
+			c.run(random, 22*time.Second, 12*time.Second, 7, nil)
+			c.requireWithin(t)
+		})
+	}
+}
+
+func TestQuotaHoldsWithHostsRestarted(t *testing.T) {
+	c := newCluster(testHosts)
+	c.run(rand.New(rand.NewPCG(4, 1)), 0, 30*time.Second, 7, func(at time.Duration) {
+		if at > 0 && at%(3*time.Second) == 0 {
+			host := int(at/(3*time.Second)) % testHosts
+			c.hosts[host] = c.newHost(host, testHosts, start.Add(at))
+			c.births[host] = at.String()
+		}
+	})
+	c.requireWithin(t)
+}
+
+func TestAdmitSaysWhen(t *testing.T) {
+	q := New()
+	quotas := map[string]persimcatalog.Quota{"o": {PerSecond: 100, Burst: 200}}
+	q.SetQuotas(start, quotas)
+	_, ok := q.Admit(start, "o", 90)
+	require.True(t, ok)
+	wait, ok := q.Admit(start, "o", 60)
+	require.False(t, ok)
+	require.Equal(t, 500*time.Millisecond, wait)
+	_, ok = q.Admit(start.Add(wait), "o", 60)
+	require.True(t, ok)
+	t.Run("a refund gives it back", func(t *testing.T) {
+		q.Refund("o", 60)
+		_, ok := q.Admit(start.Add(wait), "o", 60)
+		require.True(t, ok)
+	})
+	t.Run("without a quota there is no limit", func(t *testing.T) {
+		_, ok := q.Admit(start, "other", 1e9)
+		require.True(t, ok)
+	})
+	t.Run("a request above the burst passes when all of it is there", func(t *testing.T) {
+		_, ok := q.Admit(start.Add(time.Minute), "o", 500)
+		require.True(t, ok)
+	})
+}
