Keep missing upstreams only after an outage for all hosts; give up silent ones once

Cause: a host that alone had lost the store kept an upstream whose entry had gone (DRAIN 2.1 s after); the watch of a silent upstream cut an answer that had just begun (LOST).

--- a/persimentry/follow.go
+++ b/persimentry/follow.go
@@ -78,8 +78,7 @@
 	confirmed persimclock.Instant
 	objects   []platform.Object
 	digest    uint64
-	failing   bool
-	// returned is when the store answered again after it had been away.
+	// returned is when the list could be read again after no host could read it.
 	returned persimclock.Instant
 }
 
@@ -87,6 +86,10 @@
 // used; they register again within two seconds.
 const lapseGrace = 2500 * time.Millisecond
 
+// lapseAfter is the time without a list, here or at other hosts, after which
+// entries may have lapsed: upstreams renew them every 1.2 s.
+const lapseAfter = 2 * time.Second
+
 func (e *entry) followRoster(ctx context.Context) {
 	store := &dependency{name: "store, upstreams"}
 	every(ctx, freshTick, func(ctx context.Context) {
@@ -96,13 +99,9 @@
 		asked := persimclock.Now()
 		objects, revision, err := e.objects.List(ctx, platform.UpstreamKind)
 		store.note(err)
-		if err != nil {
-			e.mu.Lock()
-			e.rosterAt.failing = true
-			e.mu.Unlock()
-			return
+		if err == nil {
+			e.applyRoster(objects, revision, asked, "store")
 		}
-		e.applyRoster(objects, revision, asked, "store")
 	})
 }
 
@@ -136,9 +135,8 @@
 	if confirmed < e.rosterAt.confirmed || revision < e.rosterAt.revision {
 		return
 	}
-	if e.rosterAt.failing {
-		e.rosterAt.failing = false
-		e.rosterAt.returned = persimclock.Now()
+	if e.rosterAt.confirmed != 0 && confirmed.Sub(e.rosterAt.confirmed) > lapseAfter {
+		e.rosterAt.returned = confirmed
 	}
 	e.rosterAt.revision = revision
 	e.rosterAt.confirmed = confirmed
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -157,6 +157,10 @@
 	if err != nil {
 		return a.failedSend(err)
 	}
+	if !a.phase.CompareAndSwap(phaseWaiting, phaseAnswered) {
+		exchange.Abandon()
+		return a.failedSend(persimconn.ErrUnknown)
+	}
 	return a.answered(ctx, w, exchange)
 }
 
@@ -171,30 +175,56 @@
 	place.End(now, place.Send(now, c.need, choice), outcome)
 }
 
+// Phases of an attempt: of an answer and a decision to send the request
+// elsewhere, the first one counts.
+const (
+	phaseWaiting int32 = iota
+	phaseAnswered
+	phaseMoved
+)
+
 // An attempt is one sending of a call.
 type attempt struct {
 	*call
 	ticket   *persimplace.Ticket
 	upstream persimcatalog.Upstream
-	// moved says that the attempt was given up to send the request elsewhere.
-	moved atomic.Bool
+	phase    atomic.Int32
 }
 
-// watchSilence gives the attempt up when no answer begins for long and the
-// request may be sent elsewhere. It returns the function that ends the watch.
+// watchSilence gives the attempt up when nothing is heard of the upstream for long
+// and the request may be sent elsewhere. It returns the function that ends the watch.
 func (a *attempt) watchSilence(cancel context.CancelFunc, expected time.Duration) func() {
 	if !a.route.Repeatable() || a.attempts >= a.route.MaxAttempts {
 		return func() {}
 	}
 	wait := max(silenceFactor*expected, silenceMin)
-	timer := time.AfterFunc(wait, func() {
-		if time.Until(a.until) < wait/2 {
-			return
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		ticker := time.NewTicker(wait)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if time.Until(a.until) < wait/2 {
+				return
+			}
+			if a.silent() && a.phase.CompareAndSwap(phaseWaiting, phaseMoved) {
+				cancel()
+				return
+			}
 		}
-		a.moved.Store(true)
-		cancel()
-	})
-	return func() { timer.Stop() }
+	}()
+	return stop
+}
+
+func (a *attempt) silent() bool {
+	f := a.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.desk.place(a.service).Silent(a.ticket)
 }
 
 func (a *attempt) end(outcome persimplace.Outcome) {
@@ -236,7 +266,7 @@
 	a.end(persimplace.OutcomeFailed)
 	a.countBegun()
 	cause := "connection broke"
-	if a.moved.Load() {
+	if a.phase.Load() == phaseMoved {
 		cause = "upstream is silent"
 	}
 	klog.V(1).InfoS("attempt: no answer", "request", a.id, "upstream", a.upstream.ID, "cause", cause, "error", err)
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -153,6 +153,8 @@
 	Send(now time.Time, need Need, choice Choice) *Ticket
 	// Begin records the first answer.
 	Begin(now time.Time, ticket *Ticket)
+	// Silent reports whether nothing was heard of an attempt's upstream since it was sent.
+	Silent(ticket *Ticket) bool
 	// End records the end of an attempt.
 	End(now time.Time, ticket *Ticket, outcome Outcome)
 	// Report records what an upstream, named by the hash of its id, said of its load
@@ -354,6 +356,10 @@
 	}
 }
 
+func (p *placer) Silent(t *Ticket) bool {
+	return t.upstream.answered.Before(t.sent) && t.upstream.reportedAt.Before(t.sent)
+}
+
 func (p *placer) End(now time.Time, t *Ticket, outcome Outcome) {
 	if t.ended {
 		return
--- a/persimplace/place_test.go
+++ b/persimplace/place_test.go
@@ -103,6 +103,15 @@
 	}
 }
 
+func TestUpstreamThatOthersHearIsNotSilent(t *testing.T) {
+	p := newPlacer(1, 1)
+	need := prompt(1, 1)
+	ticket := p.Send(start, need, choose(t, p, start, need))
+	require.True(t, p.Silent(ticket))
+	p.Report(start.Add(time.Millisecond), Hash("u0"), Report{Running: 3, Slots: 64})
+	require.False(t, p.Silent(ticket))
+}
+
 func TestFailingUpstreamIsAvoidedForAWhile(t *testing.T) {
 	p := newPlacer(1, 4)
 	need := prompt(1, 1)
--- a/persimplace/state.go
+++ b/persimplace/state.go
@@ -95,7 +95,8 @@
 		return false
 	}
 	oldest := s.waiting[0]
-	return s.answered.Before(oldest.sent) && now.Sub(oldest.sent) > 2*oldest.expected+silenceToPause
+	heard := s.answered.After(oldest.sent) || s.reportedAt.After(oldest.sent)
+	return !heard && now.Sub(oldest.sent) > 2*oldest.expected+silenceToPause
 }
 
 func (s *state) slowdown(now time.Time) float64 {
