--- a/persimcatalog/upstream.go
+++ b/persimcatalog/upstream.go
@@ -28,23 +28,30 @@
 
 // A Roster follows the list of upstreams. It is not safe for concurrent use.
 type Roster struct {
-	known   map[Incarnation]Upstream
-	leaving map[Incarnation]bool
+	known map[Incarnation]Upstream
+	// leaving holds the number of the last list that had the leaving upstream.
+	leaving map[Incarnation]int
+	lists   int
 }
 
+// leavingLists is the number of lists after which an upstream that is gone is
+// forgotten; a list is read about twice a second.
+const leavingLists = 120
+
 // NewRoster returns a roster without upstreams.
 func NewRoster() *Roster {
-	return &Roster{known: map[Incarnation]Upstream{}, leaving: map[Incarnation]bool{}}
+	return &Roster{known: map[Incarnation]Upstream{}, leaving: map[Incarnation]int{}}
 }
 
 // Apply takes over a list. An upstream that was leaving stays so for the rest of
 // its incarnation. With keep, upstreams that the list lacks stay known, since
 // their entries may have lapsed while the store was away.
 func (r *Roster) Apply(list []Upstream, keep bool) {
+	r.lists++
 	next := map[Incarnation]Upstream{}
 	for _, upstream := range list {
-		if upstream.Leaving {
-			r.leaving[upstream.Incarnation] = true
+		if _, leaving := r.leaving[upstream.Incarnation]; leaving || upstream.Leaving {
+			r.leaving[upstream.Incarnation] = r.lists
 		}
 		next[upstream.Incarnation] = upstream
 	}
@@ -56,6 +63,11 @@
 		}
 	}
 	r.known = next
+	for incarnation, last := range r.leaving {
+		if r.lists-last > leavingLists {
+			delete(r.leaving, incarnation)
+		}
+	}
 }
 
 // replaced reports whether the list holds a later upstream at the same address or with the same id.
@@ -71,10 +83,10 @@
 // MarkLeaving records that an incarnation is leaving, as another host says, and
 // reports whether that is news.
 func (r *Roster) MarkLeaving(incarnation Incarnation) bool {
-	if r.leaving[incarnation] {
+	if _, ok := r.leaving[incarnation]; ok {
 		return false
 	}
-	r.leaving[incarnation] = true
+	r.leaving[incarnation] = r.lists
 	return true
 }
 
@@ -91,7 +103,7 @@
 func (r *Roster) Upstreams() map[string][]Upstream {
 	list := map[string][]Upstream{}
 	for incarnation, upstream := range r.known {
-		if r.leaving[incarnation] {
+		if _, leaving := r.leaving[incarnation]; leaving {
 			upstream = upstream.WithLeaving()
 		}
 		list[upstream.Service] = append(list[upstream.Service], upstream)
--- a/persimduty/lease.go
+++ b/persimduty/lease.go
@@ -36,7 +36,10 @@
 	// Observe takes over the record in the store and its revision.
 	Observe(now persimclock.Instant, record Record, revision int64)
 	// Heard takes over a later beat of the lease that another host told of.
-	Heard(now persimclock.Instant, fence, beat int64)
+	Heard(now persimclock.Instant, holder string, fence, beat int64)
+	// Latest returns the holder, fencing number and beat that were last seen or
+	// heard of.
+	Latest() (holder string, fence, beat int64)
 	// Quiet returns the time since the record was last seen to change.
 	Quiet(now persimclock.Instant) time.Duration
 	// Propose returns the record to write at a revision, if one is due.
@@ -65,9 +68,10 @@
 	seen     persimclock.Instant
 	renewed  persimclock.Instant
 	holds    bool
-	// heardFence and heardBeat are the latest that other hosts told of.
-	heardFence int64
-	heardBeat  int64
+	// heardHolder, heardFence and heardBeat are the latest that other hosts told of.
+	heardHolder string
+	heardFence  int64
+	heardBeat   int64
 }
 
 // NewLease returns the state of a host that has not read the lease yet.
@@ -88,16 +92,24 @@
 	}
 }
 
-func (l *lease) Heard(now persimclock.Instant, fence, beat int64) {
+func (l *lease) Heard(now persimclock.Instant, holder string, fence, beat int64) {
 	later := fence > l.heardFence || fence == l.heardFence && beat > l.heardBeat
 	if !l.known || !later || fence < l.record.Fence || fence == l.record.Fence && beat <= l.record.Beat {
 		return
 	}
+	l.heardHolder = holder
 	l.heardFence = fence
 	l.heardBeat = beat
 	l.seen = now
 }
 
+func (l *lease) Latest() (string, int64, int64) {
+	if l.heardFence > l.record.Fence || l.heardFence == l.record.Fence && l.heardBeat > l.record.Beat {
+		return l.heardHolder, l.heardFence, l.heardBeat
+	}
+	return l.record.Holder, l.record.Fence, l.record.Beat
+}
+
 func (l *lease) Quiet(now persimclock.Instant) time.Duration {
 	if !l.known {
 		return l.length
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -79,7 +79,9 @@
 	reported reports
 	planners map[string]persimfleet.UpstreamPlanner
 	raw      rawCatalogue
-	news     chan struct{}
+	// hubAsked and strayed are when a hub and another host were last asked.
+	hubAsked time.Time
+	strayed  time.Time
 }
 
 const incarnationBytes = 8
@@ -109,7 +111,6 @@
 		lease:       persimduty.NewLease(deployment.Host, incarnation, deployment.Bounds.Lease),
 		planners:    map[string]persimfleet.UpstreamPlanner{},
 		reported:    reports{Windows: map[int64]persimduty.Counts{}},
-		news:        make(chan struct{}, 1),
 	}
 	e.front = persimfront.New(
 		persimfront.WithBounds(deployment.Bounds),
--- a/persimentry/peers.go
+++ b/persimentry/peers.go
@@ -46,6 +46,8 @@
 	hostEntry
 	heard  time.Time
 	demand map[string]persimfront.Demand
+	// admitted is what the host admitted since its start, by organisation.
+	admitted map[string]float64
 	// fails counts asks in a row without an answer.
 	fails int
 	asked time.Time
@@ -210,30 +212,50 @@
 // maxBackOff bounds the pause between asks of a host that does not answer.
 const maxBackOff = 2 * time.Second
 
-// due returns the hosts to ask now: those that were not heard for longest.
+// due returns the hosts to ask now: those that were not heard for longest, and in a
+// large deployment a hub.
 func (e *entry) due() map[string]peer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	names := make([]string, 0, len(e.peers))
-	for name, p := range e.peers {
-		pause := min(time.Duration(p.fails)*exchangeInterval, maxBackOff)
-		if !p.busy && now.Sub(p.asked) >= pause && now.Sub(p.heard) >= exchangeInterval/2 {
-			names = append(names, name)
-		}
-	}
-	slices.SortFunc(names, func(a, b string) int { return e.peers[a].latest().Compare(e.peers[b].latest()) })
+	names := e.askable(now)
 	list := map[string]peer{}
-	for _, name := range names[:min(len(names), exchangeFanOut)] {
+	take := func(name string) {
 		p := e.peers[name]
 		p.busy = true
 		p.asked = now
 		e.peers[name] = p
 		list[name] = p
 	}
+	if !e.hubbed() {
+		for _, name := range names[:min(len(names), exchangeFanOut)] {
+			take(name)
+		}
+		return list
+	}
+	if name, ok := e.hubDue(now, names); ok {
+		take(name)
+	}
+	if len(names) > 0 && now.Sub(e.strayed) >= strayInterval {
+		e.strayed = now
+		take(names[0])
+	}
 	return list
 }
 
+// askable returns the hosts that may be asked, those first that were not heard for longest.
+func (e *entry) askable(now time.Time) []string {
+	names := make([]string, 0, len(e.peers))
+	for name, p := range e.peers {
+		pause := min(time.Duration(p.fails)*exchangeInterval, maxBackOff)
+		if !p.busy && now.Sub(p.asked) >= pause && now.Sub(p.heard) >= exchangeInterval/2 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return e.peers[a].latest().Compare(e.peers[b].latest()) })
+	return names
+}
+
 // latest is when the host was last asked or heard.
 func (p peer) latest() time.Time {
 	if p.asked.After(p.heard) {
@@ -252,6 +274,7 @@
 		return
 	}
 	e.learn(reply)
+	e.learnRelayed(reply)
 	e.learnSnapshots(reply, asked)
 }
 
@@ -294,7 +317,7 @@
 	age, known := e.front.Age()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	record := e.lease.Record()
+	holder, fence, beat := e.lease.Latest()
 	state := &persimwire.Exchange{
 		Host:        e.deployment.Host,
 		Incarnation: e.incarnation,
@@ -302,8 +325,9 @@
 		Loads:       encodeLoads(told.Loads),
 		Demand:      encodeDemand(demand),
 		Windows:     encodeWindows(e.usage.Own()),
-		Fence:       record.Fence,
-		Beat:        record.Beat,
+		Holder:      holder,
+		Fence:       fence,
+		Beat:        beat,
 		Address:     e.deployment.Peers,
 		Reports:     encodeReports(told.Reports),
 		Catalogue:   &persimwire.Snapshot{Version: e.raw.version, AgeMs: unknownAge},
@@ -321,6 +345,7 @@
 	}
 	if ask != nil {
 		e.addItems(state, ask)
+		e.relay(state, ask.GetHost())
 	}
 	return state
 }
@@ -347,7 +372,7 @@
 	}
 	e.meet(told)
 	e.front.Observe(told.GetHost(), told.GetIncarnation(), persimfront.Told{
-		Loads:    decodeLoads(told.GetLoads()),
+		Loads:    e.directLoads(told),
 		Reports:  decodeReports(told.GetReports()),
 		Admitted: told.GetAdmitted(),
 	})
@@ -357,9 +382,10 @@
 	if known, ok := e.peers[told.GetHost()]; ok {
 		known.heard = time.Now()
 		known.demand = decodeDemand(told.GetDemand())
+		known.admitted = told.GetAdmitted()
 		e.peers[told.GetHost()] = known
 	}
-	e.lease.Heard(persimclock.Now(), told.GetFence(), told.GetBeat())
+	e.lease.Heard(persimclock.Now(), told.GetHolder(), told.GetFence(), told.GetBeat())
 	e.learnLeaving(told)
 }
 
--- a/persimfront/desk.go
+++ b/persimfront/desk.go
@@ -107,7 +107,7 @@
 }
 
 func (d *desk) observe(now time.Time, host, incarnation string, told Told) {
-	d.quotas.Observe(now, host, incarnation, told.Admitted)
+	d.quotas.Observe(now, now, host, incarnation, told.Admitted)
 	for _, place := range d.places {
 		place.Peer(now, host, told.Loads)
 		for upstream, report := range told.Reports {
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -3,6 +3,7 @@
 package persimfront
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,12 @@
 	SetHosts(hosts []string)
 	// Observe takes over what another host said.
 	Observe(host, incarnation string, told Told)
+	// ObserveAdmitted takes over what another host had admitted at a time.
+	ObserveAdmitted(at time.Time, host, incarnation string, admitted map[string]float64)
+	// ObserveOthers takes over the loads of all other hosts together.
+	ObserveOthers(loads map[uint64]persimplace.PeerLoad)
+	// Others sums the loads of all hosts but one.
+	Others(but string) map[uint64]persimplace.PeerLoad
 	// Tell returns what other hosts need to know.
 	Tell() Told
 	// Demand returns the work that arrives, by service.
@@ -163,6 +170,34 @@
 	f.desk.observe(time.Now(), host, incarnation, told)
 }
 
+func (f *front) ObserveAdmitted(at time.Time, host, incarnation string, admitted map[string]float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.desk.quotas.Observe(time.Now(), at, host, incarnation, admitted)
+}
+
+func (f *front) ObserveOthers(loads map[uint64]persimplace.PeerLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, place := range f.desk.places {
+		place.Peer(time.Now(), others, loads)
+	}
+}
+
+func (f *front) Others(but string) map[uint64]persimplace.PeerLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	sum := map[uint64]persimplace.PeerLoad{}
+	for _, place := range f.desk.places {
+		maps.Copy(sum, place.Others(now, but))
+	}
+	return sum
+}
+
+// others stands for all other hosts together.
+const others = "*"
+
 func (f *front) Tell() Told {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -115,6 +115,13 @@
 	Normal   int
 }
 
+func (l PeerLoad) plus(other PeerLoad) PeerLoad {
+	l.Requests += other.Requests
+	l.Urgent += other.Urgent
+	l.Normal += other.Normal
+	return l
+}
+
 // Outcome says how an attempt ended.
 type Outcome int
 
@@ -166,6 +173,8 @@
 	Peer(now time.Time, host string, loads map[uint64]PeerLoad)
 	// Loads returns what this host has in the upstreams, by hash of the id.
 	Loads() map[uint64]PeerLoad
+	// Others sums what all hosts but one have in the upstreams, by hash of the id.
+	Others(now time.Time, but string) map[uint64]PeerLoad
 	// Count returns the number of upstreams that take requests and of all.
 	Count() (usable, all int)
 }
@@ -322,10 +331,7 @@
 		if now.Sub(peer.at) > peerFresh {
 			continue
 		}
-		load := peer.loads[s.hash]
-		sum.Requests += load.Requests
-		sum.Urgent += load.Urgent
-		sum.Normal += load.Normal
+		sum = sum.plus(peer.loads[s.hash])
 	}
 	if now.Sub(s.reportedAt) < loadFresh {
 		sum.Requests = max(sum.Requests, s.report.Running+s.report.Waiting)
@@ -402,3 +408,18 @@
 	}
 	return loads
 }
+
+func (p *placer) Others(now time.Time, but string) map[uint64]PeerLoad {
+	sum := p.Loads()
+	for host, peer := range p.peers {
+		if host == but || now.Sub(peer.at) > peerFresh {
+			continue
+		}
+		for hash, load := range peer.loads {
+			if _, ok := p.hashes[hash]; ok {
+				sum[hash] = sum[hash].plus(load)
+			}
+		}
+	}
+	return sum
+}
--- a/persimquota/quota.go
+++ b/persimquota/quota.go
@@ -57,8 +57,9 @@
 	Admit(now time.Time, organisation string, cost float64) (time.Duration, bool)
 	// Refund returns the cost of a request that did not run.
 	Refund(organisation string, cost float64)
-	// Observe takes over what a host's incarnation admitted since its start.
-	Observe(now time.Time, host, incarnation string, admitted map[string]float64)
+	// Observe takes over what a host's incarnation had admitted since its start at
+	// a time. What is older than known is left out.
+	Observe(now, at time.Time, host, incarnation string, admitted map[string]float64)
 	// Admitted returns what was admitted here since the start, by organisation.
 	Admitted() map[string]float64
 }
@@ -220,37 +221,44 @@
 	}
 }
 
-func (q *quotas) Observe(now time.Time, host, incarnation string, admitted map[string]float64) {
+func (q *quotas) Observe(now, at time.Time, host, incarnation string, admitted map[string]float64) {
 	p, ok := q.peers[host]
-	if !ok {
+	if !ok || p.incarnation == incarnation && !at.After(p.heard) {
 		return
 	}
 	q.refill(now)
 	if p.incarnation != incarnation {
-		known := p.incarnation != ""
-		presumed := p.presumed
-		p = newPeer(incarnation, now)
-		p.presumed = presumed
-		q.peers[host] = p
-		if !known {
-			p.admitted = admitted
-		}
+		p = q.replace(at, host, incarnation, admitted)
 	}
-	elapsed := now.Sub(p.heard).Seconds()
-	p.heard = now
+	elapsed := at.Sub(p.heard).Seconds()
+	p.heard = at
 	for name, a := range q.accounts {
 		used := admitted[name] - p.admitted[name]
-		a.level += p.presumed[name] - used
-		a.unheard -= a.unheard / float64(len(q.peers))
-		p.presumed[name] = 0
 		if elapsed > 0 {
 			weight := min(1, elapsed/rateWindow.Seconds())
 			p.rates[name] += (max(0, used)/elapsed - p.rates[name]) * weight
 		}
+		since := p.rates[name] * now.Sub(at).Seconds()
+		a.level += p.presumed[name] - used - since
+		p.presumed[name] = since
+		a.unheard -= a.unheard / float64(len(q.peers))
 	}
 	p.admitted = admitted
 }
 
+// replace takes a new start of a host. What a host admitted before it was first
+// heard was set aside for it or is over.
+func (q *quotas) replace(at time.Time, host, incarnation string, admitted map[string]float64) *peer {
+	former := q.peers[host]
+	p := newPeer(incarnation, at)
+	p.presumed = former.presumed
+	if former.incarnation == "" {
+		p.admitted = admitted
+	}
+	q.peers[host] = p
+	return p
+}
+
 func (q *quotas) Admitted() map[string]float64 {
 	sums := make(map[string]float64, len(q.accounts))
 	for name, a := range q.accounts {
--- a/persimquota/quota_test.go
+++ b/persimquota/quota_test.go
@@ -61,7 +61,7 @@
 	for i, to := range c.hosts {
 		for j, from := range c.hosts {
 			if i != j && !c.cut[i] && !c.cut[j] {
-				to.Observe(now, fmt.Sprint(j), c.births[j], from.Admitted())
+				to.Observe(now, now, fmt.Sprint(j), c.births[j], from.Admitted())
 			}
 		}
 	}
