--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -138,7 +138,7 @@
 	}
 	go func() {
 		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
-			klog.ErrorS(err, "listener ended", "address", address)
+			klog.ErrorS(nil, "listener ended", "address", address, "error", persimlog.Cause(err))
 		}
 	}()
 	return nil
@@ -158,7 +158,7 @@
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := servers.callers.Shutdown(drainCtx); err != nil {
-		klog.InfoS("stop: requests are cut off", "inFlight", entry.InFlight(), "error", err)
+		klog.InfoS("stop: requests are cut off", "inFlight", entry.InFlight(), "error", persimlog.Cause(err))
 	}
 	for _, server := range servers.others {
 		_ = server.Close()
@@ -169,7 +169,7 @@
 func reloadSettings(path string) {
 	deployment, err := readDeployment(path)
 	if err != nil {
-		klog.ErrorS(err, "settings: not reloaded")
+		klog.ErrorS(nil, "settings: not reloaded", "error", persimlog.Cause(err))
 		return
 	}
 	klog.InfoS("settings reloaded", "host", deployment.Host)
--- a/persimentry/duties.go
+++ b/persimentry/duties.go
@@ -16,6 +16,7 @@
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimfleet"
 	"persimmonport.example/persimfront"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplatform"
 	"persimmonport.example/platform"
 )
@@ -110,14 +111,14 @@
 func (e *entry) writeLease(ctx context.Context, sent persimclock.Instant, record persimduty.Record, revision int64) {
 	spec, err := json.Marshal(record)
 	if err != nil {
-		klog.ErrorS(err, "lease: not written")
+		klog.ErrorS(nil, "lease: not written", "error", persimlog.Cause(err))
 		return
 	}
 	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: leaseName, Revision: revision, Spec: spec})
 	if err != nil {
-		klog.InfoS("lease: write failed", "fence", record.Fence, "error", err)
+		klog.InfoS("lease: write failed", "fence", record.Fence, "error", persimlog.Cause(err))
 		if errRead := e.readLease(ctx); errRead != nil {
-			klog.V(1).InfoS("lease: not read", "error", errRead)
+			klog.V(1).InfoS("lease: not read", "error", persimlog.Cause(errRead))
 		}
 		return
 	}
@@ -151,7 +152,7 @@
 func (e *entry) readReports(ctx context.Context) {
 	object, err := e.objects.Get(ctx, dutyKind, usageName)
 	if err != nil && !errors.Is(err, persimplatform.ErrNotFound) {
-		klog.InfoS("usage: earlier reports not read", "error", err)
+		klog.InfoS("usage: earlier reports not read", "error", persimlog.Cause(err))
 		e.mu.Lock()
 		e.reported.known = false
 		e.mu.Unlock()
@@ -160,7 +161,7 @@
 	stored := reports{Windows: map[int64]persimduty.Counts{}}
 	if err == nil {
 		if err := json.Unmarshal(object.Spec, &stored); err != nil {
-			klog.ErrorS(err, "usage: earlier reports are unreadable")
+			klog.ErrorS(nil, "usage: earlier reports are unreadable", "error", persimlog.Cause(err))
 			return
 		}
 	}
@@ -227,7 +228,7 @@
 		return
 	}
 	err := e.calls.ReportUsage(ctx, persimplatform.Fence{Holder: e.deployment.Host, Number: fence}, window, counts)
-	klog.InfoS("usage reported", "window", window, "fence", fence, "counts", counts, "error", err)
+	klog.InfoS("usage reported", "window", window, "fence", fence, "counts", counts, "error", persimlog.Cause(err))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if errors.Is(err, persimplatform.ErrFenced) {
@@ -255,12 +256,12 @@
 	maps.DeleteFunc(next.Windows, func(old int64, _ persimduty.Counts) bool { return old < window-keptReports })
 	spec, err := json.Marshal(next)
 	if err != nil {
-		klog.ErrorS(err, "usage: not stored", "window", window)
+		klog.ErrorS(nil, "usage: not stored", "window", window, "error", persimlog.Cause(err))
 		return false
 	}
 	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: usageName, Revision: revision, Spec: spec})
 	if err != nil {
-		klog.InfoS("usage: not stored", "window", window, "error", err)
+		klog.InfoS("usage: not stored", "window", window, "error", persimlog.Cause(err))
 		e.readReports(ctx)
 		return false
 	}
@@ -314,7 +315,7 @@
 		Service: service, Centre: order.Centre, Count: order.Count, Reclaimable: order.Reclaimable,
 	})
 	klog.InfoS("upstreams ordered", "service", service, "centre", order.Centre, "count", order.Count,
-		"reclaimable", order.Reclaimable, "work", load.Work(), "fence", fence, "error", err)
+		"reclaimable", order.Reclaimable, "work", load.Work(), "fence", fence, "error", persimlog.Cause(err))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err == nil {
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -18,6 +18,7 @@
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimfleet"
 	"persimmonport.example/persimfront"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplatform"
 	"persimmonport.example/persimsettings"
@@ -28,16 +29,16 @@
 	// freshTick is how often a host looks whether its knowledge is old.
 	freshTick     = 100 * time.Millisecond
 	hostsInterval = 2 * time.Second
-	leaseInterval  = 300 * time.Millisecond
+	leaseInterval = 300 * time.Millisecond
 	// leaseReadInterval is how often a host that does not hold the lease reads it.
 	leaseReadInterval = time.Second
 	dutyInterval      = 300 * time.Millisecond
 	exchangeInterval  = 200 * time.Millisecond
 	// exchangeFanOut is the number of hosts that are asked in an interval. Those
 	// asked tell and learn, so ten hosts all hear each other in one interval.
-	exchangeFanOut = 5
-	exchangeTimeout   = 700 * time.Millisecond
-	sweepInterval     = 500 * time.Millisecond
+	exchangeFanOut  = 5
+	exchangeTimeout = 700 * time.Millisecond
+	sweepInterval   = 500 * time.Millisecond
 )
 
 // An Entry is one entry host.
@@ -211,7 +212,7 @@
 
 func (d *dependency) note(err error) {
 	if err != nil && !d.lost {
-		klog.InfoS("dependency lost", "name", d.name, "error", err)
+		klog.InfoS("dependency lost", "name", d.name, "error", persimlog.Cause(err))
 	}
 	if err == nil && d.lost {
 		klog.InfoS("dependency regained", "name", d.name)
--- a/persimentry/follow.go
+++ b/persimentry/follow.go
@@ -11,6 +11,7 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/platform"
 )
 
@@ -58,7 +59,7 @@
 	}
 	catalogue, err := platform.DecodeCatalogue(spec)
 	if err != nil {
-		klog.ErrorS(err, "configuration: not applied", "source", source)
+		klog.ErrorS(nil, "configuration: not applied", "source", source, "error", persimlog.Cause(err))
 		return nil
 	}
 	if catalogue.Version() < e.raw.version {
@@ -146,7 +147,7 @@
 	for _, object := range objects {
 		upstream, err := platform.DecodeUpstream(object.Name, object.Spec)
 		if err != nil {
-			klog.V(1).InfoS("upstreams: entry left out", "error", err)
+			klog.V(1).InfoS("upstreams: entry left out", "error", persimlog.Cause(err))
 			continue
 		}
 		list = append(list, upstream)
--- a/persimentry/peers.go
+++ b/persimentry/peers.go
@@ -20,6 +20,7 @@
 	"persimmonport.example/persimfleet"
 	"persimmonport.example/persimfront"
 	"persimmonport.example/persimkeys"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/persimplatform"
 	"persimmonport.example/persimwire"
@@ -99,7 +100,7 @@
 	}
 	_, err = e.objects.Write(ctx, hostKind, object)
 	if err != nil {
-		klog.InfoS("hosts: not registered yet", "error", err)
+		klog.InfoS("hosts: not registered yet", "error", persimlog.Cause(err))
 	}
 	return err
 }
@@ -112,7 +113,7 @@
 	for _, object := range objects {
 		var told hostEntry
 		if err := json.Unmarshal(object.Spec, &told); err != nil || told.Address == "" {
-			klog.InfoS("hosts: entry left out", "name", object.Name, "error", err)
+			klog.InfoS("hosts: entry left out", "name", object.Name, "error", persimlog.Cause(err))
 			continue
 		}
 		if object.Name == e.deployment.Host {
@@ -172,7 +173,7 @@
 	defer running.Wait()
 	running.Go(func() {
 		if err := links.Serve(ctx, e.answer); err != nil {
-			klog.ErrorS(err, "exchange: other hosts are not answered")
+			klog.ErrorS(nil, "exchange: other hosts are not answered", "error", persimlog.Cause(err))
 		}
 	})
 	every(ctx, exchangeInterval, func(ctx context.Context) {
@@ -188,7 +189,7 @@
 		if err == nil {
 			return links, cleanup
 		}
-		klog.InfoS("exchange: no links yet", "error", err)
+		klog.InfoS("exchange: no links yet", "error", persimlog.Cause(err))
 		select {
 		case <-ctx.Done():
 		case <-time.After(secretRetry):
@@ -292,7 +293,7 @@
 	if err != nil {
 		known.fails++
 		if known.fails == failsToTell {
-			klog.InfoS("dependency lost", "name", "host "+name, "error", err)
+			klog.InfoS("dependency lost", "name", "host "+name, "error", persimlog.Cause(err))
 		}
 	} else {
 		if known.fails >= failsToTell {
@@ -423,7 +424,7 @@
 	confirmed := asked.Add(-time.Duration(catalogue.GetAgeMs()) * time.Millisecond)
 	for _, item := range catalogue.GetItems() {
 		if err := e.applyCatalogue(item.GetValue(), confirmed, told.GetHost()); err != nil {
-			klog.ErrorS(err, "configuration of another host: not applied", "source", told.GetHost())
+			klog.ErrorS(nil, "configuration of another host: not applied", "source", told.GetHost(), "error", persimlog.Cause(err))
 		}
 	}
 	e.mu.Lock()
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/platform"
 )
@@ -147,7 +148,7 @@
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(c.until); err != nil {
-		klog.ErrorS(err, "front: no read deadline", "request", c.id)
+		klog.ErrorS(nil, "front: no read deadline", "request", c.id, "error", persimlog.Cause(err))
 	}
 	reader := io.Reader(c.request.Body)
 	if limits.BodyBytes > 0 {
@@ -155,7 +156,7 @@
 	}
 	body, err := io.ReadAll(reader)
 	if errDeadline := control.SetReadDeadline(time.Time{}); errDeadline != nil {
-		klog.ErrorS(errDeadline, "front: read deadline stays", "request", c.id)
+		klog.ErrorS(nil, "front: read deadline stays", "request", c.id, "error", persimlog.Cause(errDeadline))
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -173,7 +174,7 @@
 func (c *call) measure(organisation persimcatalog.Organisation) *refusal {
 	prompt, sized, err := platform.DecodePrompt(c.request.Header)
 	if err != nil {
-		klog.V(1).InfoS("front: prompt is malformed", "request", c.id, "error", err)
+		klog.V(1).InfoS("front: prompt is malformed", "request", c.id, "error", persimlog.Cause(err))
 	}
 	size := Demand{Requests: 1}
 	c.cost = 1
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -213,4 +213,3 @@
 func (f *front) Close() { f.closing.Store(true) }
 
 func (f *front) InFlight() int { return int(f.inFlight.Load()) }
-
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -14,6 +14,7 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimconn"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/platform"
 )
@@ -38,7 +39,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
-		klog.V(1).InfoS("answer: caller does not take it", "error", err)
+		klog.V(1).InfoS("answer: caller does not take it", "error", persimlog.Cause(err))
 	}
 }
 
@@ -172,7 +173,6 @@
 	return endDone, nil, ""
 }
 
-
 func (a *attempt) breakCause(ctx context.Context, out *eventWriter) string {
 	switch {
 	case out.lost || a.request.Context().Err() != nil:
@@ -292,7 +292,7 @@
 func (e *eventWriter) write(events []byte) error {
 	e.start()
 	if err := e.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		klog.V(1).InfoS("stream: no write deadline", "error", err)
+		klog.V(1).InfoS("stream: no write deadline", "error", persimlog.Cause(err))
 	}
 	_, err := e.w.Write(events)
 	if err == nil {
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -12,6 +12,7 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimconn"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/platform"
 )
@@ -31,10 +32,12 @@
 )
 
 // silenceFactor and silenceMin say after which wait, against what was expected, a
-// request that may be repeated is sent elsewhere.
+// request that may be repeated is sent elsewhere. Each host adds to the wait, since
+// the more there are, the less one hears of an upstream.
 const (
-	silenceFactor = 3
-	silenceMin    = 350 * time.Millisecond
+	silenceFactor  = 3
+	silenceMin     = 350 * time.Millisecond
+	silencePerHost = 10 * time.Millisecond
 	// minLeft is the least time in which another attempt makes sense.
 	minLeft = 60 * time.Millisecond
 )
@@ -197,7 +200,7 @@
 	if !a.route.Repeatable() || a.attempts >= a.route.MaxAttempts {
 		return func() {}
 	}
-	wait := max(silenceFactor*expected, silenceMin)
+	wait := max(silenceFactor*expected, a.front.silence())
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
 		ticker := time.NewTicker(wait)
@@ -220,6 +223,13 @@
 	return stop
 }
 
+// silence is the shortest time without a word after which an upstream counts as silent.
+func (f *front) silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return silenceMin + time.Duration(f.desk.hosts)*silencePerHost
+}
+
 func (a *attempt) silent() bool {
 	f := a.front
 	f.mu.Lock()
@@ -269,7 +279,7 @@
 	if a.phase.Load() == phaseMoved {
 		cause = "upstream is silent"
 	}
-	klog.V(1).InfoS("attempt: no answer", "request", a.id, "upstream", a.upstream.ID, "cause", cause, "error", err)
+	klog.V(1).InfoS("attempt: no answer", "request", a.id, "upstream", a.upstream.ID, "cause", cause, "error", persimlog.Cause(err))
 	return endUnknown, nil, cause
 }
 
--- /dev/null
+++ b/persimlog/cause_test.go
@@ -0,0 +1,16 @@
+package persimlog
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/gravitational/trace"
+	"github.com/stretchr/testify/require"
+)
+
+func TestCauseIsOneLine(t *testing.T) {
+	require.Empty(t, Cause(nil))
+	err := trace.Wrap(trace.Wrap(errors.New("store away"), "GET /objects: refused"))
+	require.NotContains(t, Cause(err), "\n")
+	require.Contains(t, Cause(err), "refused")
+}
--- /dev/null
+++ b/persimstand/store.go
@@ -0,0 +1,307 @@
+package persimstand
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"persimmonport.example/persimcatalog"
+	"persimmonport.example/platform"
+)
+
+// A StoreFault is what a store does to a call instead of serving it.
+type StoreFault int
+
+// Faults of a store.
+const (
+	StoreServes StoreFault = iota
+	// StoreRefuses answers that the store is busy.
+	StoreRefuses
+	// StoreThrottles answers that the rate is exceeded.
+	StoreThrottles
+	// StoreResets closes the connection.
+	StoreResets
+	// StoreIsSilent answers nothing until the caller gives up.
+	StoreIsSilent
+	// StoreLosesAnswers carries out what it is asked and closes the connection.
+	StoreLosesAnswers
+)
+
+// storePage is the number of objects in a page of a list; it is small so that
+// tests need more than one.
+const storePage = 5
+
+// A Store is a stand-in of the platform's store and of the calls of duties.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	kinds    map[string]map[string]platform.Object
+	faults   map[string]StoreFault
+	fences   map[string]int64
+	usage    map[int64]map[string]int64
+	broken   []string
+	orders   []StoreOrder
+	calls    map[string]int
+}
+
+// A StoreOrder is an order for upstreams that the stand-in took.
+type StoreOrder struct {
+	Holder      string
+	Fence       int64
+	Service     string
+	Centre      string
+	Count       int
+	Reclaimable bool
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		revision: 1,
+		kinds:    map[string]map[string]platform.Object{},
+		faults:   map[string]StoreFault{},
+		fences:   map[string]int64{},
+		usage:    map[int64]map[string]int64{},
+		calls:    map[string]int{},
+	}
+}
+
+// Handler serves a caller under a name, for which faults can be set.
+func (s *Store) Handler(caller string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		fault := s.faults[caller]
+		s.calls[caller]++
+		s.mu.Unlock()
+		switch fault {
+		case StoreRefuses:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case StoreThrottles:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case StoreResets:
+			panic(http.ErrAbortHandler)
+		case StoreIsSilent:
+			<-r.Context().Done()
+		case StoreLosesAnswers:
+			s.serve(discard{http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		default:
+			s.serve(w, r)
+		}
+	})
+}
+
+// discard is an answer that nobody gets.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+// SetFault sets what the store does to a caller.
+func (s *Store) SetFault(caller string, fault StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[caller] = fault
+}
+
+// Put stores a spec without a condition, as the operator and upstreams do.
+func (s *Store) Put(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, spec)
+}
+
+// PutUpstream stores the entry of an upstream.
+func (s *Store) PutUpstream(u persimcatalog.Upstream) error {
+	spec, err := platform.EncodeUpstream(u)
+	if err != nil {
+		return err
+	}
+	s.Put(platform.UpstreamKind, u.ID, spec)
+	return nil
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.kinds[kind], name)
+}
+
+// Usage returns the reports that were taken, by window.
+func (s *Store) Usage() map[int64]map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := map[int64]map[string]int64{}
+	for window, counts := range s.usage {
+		copied[window] = counts
+	}
+	return copied
+}
+
+// Orders returns the orders that were taken.
+func (s *Store) Orders() []StoreOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders)
+}
+
+// Broken returns what callers did that they must not do.
+func (s *Store) Broken() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.broken)
+}
+
+// Calls returns the number of calls of a caller.
+func (s *Store) Calls(caller string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[caller]
+}
+
+func (s *Store) put(kind, name string, spec []byte) platform.Object {
+	s.revision++
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]platform.Object{}
+	}
+	object := platform.Object{Name: name, Revision: s.revision, Spec: spec}
+	s.kinds[kind][name] = object
+	return object
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	place, ok := platform.DecodePlace(r.URL.Path)
+	if !ok {
+		s.serveDuty(w, r, body)
+		return
+	}
+	switch {
+	case r.Method == http.MethodGet && place.Name == "":
+		s.list(w, place.Kind, platform.DecodeAfter(r.URL.Query()))
+	case r.Method == http.MethodGet:
+		s.get(w, place)
+	case r.Method == http.MethodDelete:
+		s.remove(w, place, platform.DecodeRevision(r.URL.Query()))
+	default:
+		s.write(w, place, r.Method == http.MethodPost, body)
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, kind, after string) {
+	var names []string
+	for name := range s.kinds[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	page := platform.List{Revision: s.revision, More: len(names) > storePage}
+	for _, name := range names[:min(len(names), storePage)] {
+		page.Objects = append(page.Objects, s.kinds[kind][name])
+	}
+	data, err := platform.EncodeList(page)
+	reply(w, http.StatusOK, data, err)
+}
+
+func (s *Store) get(w http.ResponseWriter, place platform.Place) {
+	object, ok := s.kinds[place.Kind][place.Name]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	data, err := platform.EncodeObject(object)
+	reply(w, http.StatusOK, data, err)
+}
+
+func (s *Store) remove(w http.ResponseWriter, place platform.Place, revision int64) {
+	object, ok := s.kinds[place.Kind][place.Name]
+	if !ok || revision != 0 && revision != object.Revision {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.revision++
+	delete(s.kinds[place.Kind], place.Name)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Store) write(w http.ResponseWriter, place platform.Place, create bool, body []byte) {
+	object, err := platform.DecodeObject(body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	known, exists := s.kinds[place.Kind][object.Name]
+	if create && exists || !create && !exists || object.Revision != 0 && object.Revision != known.Revision {
+		data, err := platform.EncodeObject(known)
+		reply(w, http.StatusConflict, data, err)
+		return
+	}
+	data, err := platform.EncodeObject(s.put(place.Kind, object.Name, object.Spec))
+	reply(w, http.StatusOK, data, err)
+}
+
+func reply(w http.ResponseWriter, status int, data []byte, err error) {
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func (s *Store) serveDuty(w http.ResponseWriter, r *http.Request, body []byte) {
+	holder, fence, err := platform.DecodeFence(r.Header)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if fence < s.fences[r.URL.Path] {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.fences[r.URL.Path] = fence
+	if strings.HasSuffix(r.URL.Path, platform.UsagePath) {
+		s.takeUsage(w, body)
+		return
+	}
+	order := StoreOrder{Holder: holder, Fence: fence}
+	order.Service, order.Centre, order.Count, order.Reclaimable, err = platform.DecodeScale(body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.orders = append(s.orders, order)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Store) takeUsage(w http.ResponseWriter, body []byte) {
+	window, counts, err := platform.DecodeUsage(body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if known, ok := s.usage[window]; ok && !sameCounts(known, counts) {
+		s.broken = append(s.broken, "a window was reported twice with other counts")
+	}
+	s.usage[window] = counts
+	w.WriteHeader(http.StatusOK)
+}
+
+func sameCounts(a, b map[string]int64) bool {
+	first, errFirst := json.Marshal(a)
+	second, errSecond := json.Marshal(b)
+	return errFirst == nil && errSecond == nil && string(first) == string(second)
+}
