Ask every other host in turn, also those that ask us

Cause: a host passed over hosts that it had just heard; when two hosts fell into step, one only answered and never got the configuration or its age. Found by TestHostTurnedAwayLearnsFromOthers under the race detector; not time, the log showed one host at version 1 for 4 s beside others at 2. The test's stand-in also never noticed the end of a silent call with a body (a hang of the test).

--- a/persimentry/peers.go
+++ b/persimentry/peers.go
@@ -213,7 +213,7 @@
 // maxBackOff bounds the pause between asks of a host that does not answer.
 const maxBackOff = 2 * time.Second
 
-// due returns the hosts to ask now: those that were not heard for longest, and in a
+// due returns the hosts to ask now: those that were not asked for longest, or in a
 // large deployment a hub.
 func (e *entry) due() map[string]peer {
 	e.mu.Lock()
@@ -244,27 +244,21 @@
 	return list
 }
 
-// askable returns the hosts that may be asked, those first that were not heard for longest.
+// askable returns the hosts that may be asked, those first that were not asked for
+// longest. That a host is heard is no reason to leave it out: only an answer brings
+// the configuration and its age.
 func (e *entry) askable(now time.Time) []string {
 	names := make([]string, 0, len(e.peers))
 	for name, p := range e.peers {
 		pause := min(time.Duration(p.fails)*exchangeInterval, maxBackOff)
-		if !p.busy && now.Sub(p.asked) >= pause && now.Sub(p.heard) >= exchangeInterval/2 {
+		if !p.busy && now.Sub(p.asked) >= pause {
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int { return e.peers[a].latest().Compare(e.peers[b].latest()) })
+	slices.SortFunc(names, func(a, b string) int { return e.peers[a].asked.Compare(e.peers[b].asked) })
 	return names
 }
 
-// latest is when the host was last asked or heard.
-func (p peer) latest() time.Time {
-	if p.asked.After(p.heard) {
-		return p.asked
-	}
-	return p.heard
-}
-
 func (e *entry) ask(ctx context.Context, links persimexchange.Links, name string, p peer) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/persimstand/store.go
+++ b/persimstand/store.go
@@ -84,6 +84,8 @@
 		case StoreResets:
 			panic(http.ErrAbortHandler)
 		case StoreIsSilent:
+			// The end of the connection is noticed only once the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		case StoreLosesAnswers:
 			s.serve(discard{http.Header{}}, r)
