--- a/persimentry/duties.go
+++ b/persimentry/duties.go
@@ -145,8 +145,6 @@
 	known    bool
 	// sent are the windows that the platform took from this host.
 	sent map[int64]bool
-	// since is the first window that the host can count in full.
-	since int64
 }
 
 func (e *entry) readReports(ctx context.Context) {
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -145,8 +145,12 @@
 
 // relayStream passes events on as they come.
 func (a *attempt) relayStream(ctx context.Context, w http.ResponseWriter, exchange *persimconn.Exchange) (end, *answer, string) {
-	out := &eventWriter{w: w, control: http.NewResponseController(w), header: exchange.Response.Header,
-		status: exchange.Response.StatusCode}
+	out := &eventWriter{
+		w:       w,
+		control: http.NewResponseController(w),
+		header:  exchange.Response.Header,
+		status:  exchange.Response.StatusCode,
+	}
 	err := out.copy(exchange)
 	for err != nil && ctx.Err() == nil && !out.lost && a.route.Resumable {
 		exchange.Abandon()
