--- a/persimentry/hub.go
+++ b/persimentry/hub.go
@@ -94,7 +94,9 @@
 	if len(told.GetRelayed()) == 0 {
 		return
 	}
-	e.front.ObserveOthers(decodeLoads(told.GetOthers()))
+	if !e.isHub() {
+		e.front.ObserveOthers(decodeLoads(told.GetOthers()))
+	}
 	now := time.Now()
 	for _, relayed := range told.GetRelayed() {
 		if len(relayed.GetAdmitted()) != len(told.GetOrganisations()) || relayed.GetHost() == e.deployment.Host {
@@ -113,9 +115,17 @@
 // them on as part of a sum.
 func (e *entry) directLoads(told *persimwire.Exchange) map[uint64]persimplace.PeerLoad {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.hubbed() && !slices.Contains(e.hubNames(), e.deployment.Host) {
+	large := e.hubbed()
+	e.mu.Unlock()
+	if large && !e.isHub() {
 		return nil
 	}
 	return decodeLoads(told.GetLoads())
 }
+
+// isHub reports whether this host passes on what the others say.
+func (e *entry) isHub() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hubbed() && slices.Contains(e.hubNames(), e.deployment.Host)
+}
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -65,13 +65,13 @@
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { f.held.Add(-int64(len(c.body))) }()
 	if refused := c.admit(w); refused != nil {
 		c.refuse(w, *refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.until)
 	defer cancel()
-	defer f.held.Add(-int64(len(c.body)))
 	c.run(ctx, w)
 }
 
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -190,12 +190,13 @@
 	now := time.Now()
 	sum := map[uint64]persimplace.PeerLoad{}
 	for _, place := range f.desk.places {
-		maps.Copy(sum, place.Others(now, but))
+		maps.Copy(sum, place.Others(now, but, others))
 	}
 	return sum
 }
 
-// others stands for all other hosts together.
+// others stands for all other hosts together. It is never part of a sum that is
+// passed on, or two hubs would add each other's sums up.
 const others = "*"
 
 func (f *front) Tell() Told {
--- a/persimfront/front_test.go
+++ b/persimfront/front_test.go
@@ -13,6 +13,7 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
+	"persimmonport.example/persimplace"
 )
 
 func TestRequestPassesUnchanged(t *testing.T) {
@@ -218,3 +219,42 @@
 	require.True(t, resp.Close)
 	require.True(t, strings.EqualFold(resp.Status, "200 OK"))
 }
+
+func TestRefusedBodiesLeaveNoMemory(t *testing.T) {
+	r := newRig(t, newWorker(t, "w1", good()))
+	r.front.SetCatalogue(persimcatalog.New(2, testRoutes(), nil, []persimcatalog.Organisation{
+		{Name: "org", Keys: []string{"key"}, Quota: persimcatalog.Quota{PerSecond: 0.01, Burst: 0.01}},
+	}, persimcatalog.Limits{}))
+	refused := 0
+	for range 40 {
+		conn := r.dial(t)
+		_, err := io.WriteString(conn, head("POST", "/safe/")+"Content-Length: 5\r\n\r\nhello")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		if resp.StatusCode == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+	front, ok := r.front.(*front)
+	require.True(t, ok)
+	require.Eventually(t, func() bool { return front.held.Load() == 0 }, time.Second, time.Millisecond)
+}
+
+func TestSumsOfOthersDoNotGrow(t *testing.T) {
+	first, second := newRig(t), newRig(t)
+	w := newWorker(t, "w1", good()).upstream("s")
+	hubs := []Front{first.front, second.front}
+	load := map[uint64]persimplace.PeerLoad{hashOf("w1"): {Requests: 3}}
+	for i, hub := range hubs {
+		hub.SetUpstreams(upstreamsOf(w))
+		hub.SetHosts([]string{"third", string(rune('a' + 1 - i))})
+		hub.Observe("third", "1", Told{Loads: load})
+	}
+	for range 10 {
+		hubs[0].ObserveOthers(hubs[1].Others("a"))
+		hubs[1].ObserveOthers(hubs[0].Others("b"))
+	}
+	require.Equal(t, load, hubs[0].Others("b"))
+}
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -173,8 +173,8 @@
 	Peer(now time.Time, host string, loads map[uint64]PeerLoad)
 	// Loads returns what this host has in the upstreams, by hash of the id.
 	Loads() map[uint64]PeerLoad
-	// Others sums what all hosts but one have in the upstreams, by hash of the id.
-	Others(now time.Time, but string) map[uint64]PeerLoad
+	// Others sums what all hosts but some have in the upstreams, by hash of the id.
+	Others(now time.Time, but ...string) map[uint64]PeerLoad
 	// Count returns the number of upstreams that take requests and of all.
 	Count() (usable, all int)
 }
@@ -409,10 +409,10 @@
 	return loads
 }
 
-func (p *placer) Others(now time.Time, but string) map[uint64]PeerLoad {
+func (p *placer) Others(now time.Time, but ...string) map[uint64]PeerLoad {
 	sum := p.Loads()
 	for host, peer := range p.peers {
-		if host == but || now.Sub(peer.at) > peerFresh {
+		if slices.Contains(but, host) || now.Sub(peer.at) > peerFresh {
 			continue
 		}
 		for hash, load := range peer.loads {
