--- a/persimentry/entry_test.go
+++ b/persimentry/entry_test.go
@@ -337,3 +337,33 @@
 	s.hosts[0].entry.Leave()
 	require.Equal(t, http.StatusServiceUnavailable, ready())
 }
+
+func TestSilentHostsAreForgotten(t *testing.T) {
+	s := newSite(t, 2)
+	s.met()
+	s.store.Put(hostKind, "gone", []byte(`{"address":"127.0.0.1:1","incarnation":"1"}`))
+	h := s.hosts[0]
+	gone := platform.Object{Name: "gone", Revision: 1}
+	alive := platform.Object{Name: "host-1", Revision: 1}
+	s.eventually(startTime, func() bool {
+		h.entry.mu.Lock()
+		defer h.entry.mu.Unlock()
+		_, ok := h.entry.peers["gone"]
+		return ok
+	}, "the entry")
+	require.Empty(t, h.entry.silentHosts(time.Now(), []platform.Object{gone, alive}))
+	h.entry.mu.Lock()
+	alivePeer := h.entry.peers["host-1"]
+	alivePeer.heard = time.Now().Add(forgetAfter)
+	h.entry.peers["host-1"] = alivePeer
+	h.entry.mu.Unlock()
+	later := time.Now().Add(forgetAfter + time.Second)
+	require.Equal(t, []platform.Object{gone}, h.entry.silentHosts(later, []platform.Object{gone, alive}))
+}
+
+func TestHostRegistersAgain(t *testing.T) {
+	s := newSite(t, 2)
+	s.met()
+	s.store.Remove(hostKind, "host-0")
+	s.eventually(startTime, func() bool { return s.store.Has(hostKind, "host-0") }, "the entry")
+}
--- a/persimentry/peers.go
+++ b/persimentry/peers.go
@@ -68,12 +68,47 @@
 		}
 		objects, _, err := e.objects.ListStale(ctx, hostKind)
 		store.note(err)
-		if err == nil {
-			e.applyHosts(objects)
+		if err != nil {
+			return
+		}
+		e.applyHosts(objects)
+		registered = registered && e.listed(objects)
+		if _, held := e.held(); held {
+			e.forgetHosts(ctx, objects)
 		}
 	})
 }
 
+// listed reports whether the host's own entry is in a list.
+func (e *entry) listed(objects []platform.Object) bool {
+	return slices.ContainsFunc(objects, func(o platform.Object) bool { return o.Name == e.deployment.Host })
+}
+
+// forgetAfter is the time after which the entry of a host that nobody hears is
+// removed; one that was only cut off registers again.
+const forgetAfter = 20 * time.Second
+
+// forgetHosts removes the entries of hosts that were not heard for long, for which
+// a part of each quota would stay set aside.
+func (e *entry) forgetHosts(ctx context.Context, objects []platform.Object) {
+	for _, object := range e.silentHosts(time.Now(), objects) {
+		err := e.objects.Delete(ctx, hostKind, object.Name, object.Revision)
+		klog.InfoS("host forgotten", "name", object.Name, "error", persimlog.Cause(err))
+	}
+}
+
+func (e *entry) silentHosts(now time.Time, objects []platform.Object) []platform.Object {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var silent []platform.Object
+	for _, object := range objects {
+		if p, ok := e.peers[object.Name]; ok && now.Sub(p.heard) > forgetAfter {
+			silent = append(silent, object)
+		}
+	}
+	return silent
+}
+
 // freeLists is the number of hosts up to which each reads the list in each interval.
 const freeLists = 6
 
--- a/persimstand/store.go
+++ b/persimstand/store.go
@@ -135,6 +135,14 @@
 	delete(s.kinds[kind], name)
 }
 
+// Has reports whether an object exists.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.kinds[kind][name]
+	return ok
+}
+
 // Usage returns the reports that were taken, by window.
 func (s *Store) Usage() map[int64]map[string]int64 {
 	s.mu.Lock()
