--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINTER = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|' -)
-MODULES = $(patsubst %/go.mod,./%/...,$(wildcard persim*/go.mod)) ./...
+MODULES = $(patsubst %/go.mod,./%/...,$(wildcard persim*/go.mod) platform/go.mod) ./...
 
 .PHONY: build demo test lint format bench capacity faults generate
 
