Let the hubs read the store for all hosts

Each host drew a new random age at every tick at which to read, so the smallest of many draws decided and every host read about once a second although the hubs told it the same.

--- /dev/null
+++ b/persimentry/codec.go
@@ -0,0 +1,108 @@
+package persimentry
+
+import (
+	"time"
+
+	"persimmonport.example/persimduty"
+	"persimmonport.example/persimfront"
+	"persimmonport.example/persimplace"
+	"persimmonport.example/persimwire"
+)
+
+func encodeLoads(loads map[uint64]persimplace.PeerLoad) []*persimwire.UpstreamLoad {
+	list := make([]*persimwire.UpstreamLoad, 0, len(loads))
+	for upstream, load := range loads {
+		list = append(list, &persimwire.UpstreamLoad{
+			Upstream: upstream,
+			Requests: uint32(max(0, load.Requests)),
+			Urgent:   uint32(max(0, load.Urgent)),
+			Normal:   uint32(max(0, load.Normal)),
+		})
+	}
+	return list
+}
+
+func decodeLoads(list []*persimwire.UpstreamLoad) map[uint64]persimplace.PeerLoad {
+	loads := make(map[uint64]persimplace.PeerLoad, len(list))
+	for _, load := range list {
+		loads[load.GetUpstream()] = persimplace.PeerLoad{
+			Requests: int(load.GetRequests()),
+			Urgent:   int(load.GetUrgent()),
+			Normal:   int(load.GetNormal()),
+		}
+	}
+	return loads
+}
+
+func encodeReports(reports map[uint64]persimplace.TimedReport) []*persimwire.UpstreamReport {
+	list := make([]*persimwire.UpstreamReport, 0, len(reports))
+	for upstream, report := range reports {
+		list = append(list, &persimwire.UpstreamReport{
+			Upstream: upstream,
+			Running:  uint32(max(0, report.Running)),
+			Waiting:  uint32(max(0, report.Waiting)),
+			Slots:    uint32(max(0, report.Slots)),
+			Slowdown: uint32(max(0, report.Slowdown*hundredths)),
+			AgeMs:    uint32(max(0, time.Since(report.At).Milliseconds())),
+		})
+	}
+	return list
+}
+
+// hundredths are the units in which a slowdown is told.
+const hundredths = 100
+
+func decodeReports(list []*persimwire.UpstreamReport) map[uint64]persimplace.TimedReport {
+	reports := make(map[uint64]persimplace.TimedReport, len(list))
+	now := time.Now()
+	for _, report := range list {
+		reports[report.GetUpstream()] = persimplace.TimedReport{
+			Report: persimplace.Report{
+				Running:  int(report.GetRunning()),
+				Waiting:  int(report.GetWaiting()),
+				Slots:    int(report.GetSlots()),
+				Slowdown: float64(report.GetSlowdown()) / hundredths,
+			},
+			At: now.Add(-time.Duration(report.GetAgeMs()) * time.Millisecond),
+		}
+	}
+	return reports
+}
+
+func encodeDemand(demand map[string]persimfront.Demand) map[string]*persimwire.Demand {
+	encoded := make(map[string]*persimwire.Demand, len(demand))
+	for service, d := range demand {
+		encoded[service] = &persimwire.Demand{Tokens: d.Tokens, Output: d.Output, Refused: d.Refused, Requests: d.Requests}
+	}
+	return encoded
+}
+
+func decodeDemand(demand map[string]*persimwire.Demand) map[string]persimfront.Demand {
+	decoded := make(map[string]persimfront.Demand, len(demand))
+	for service, d := range demand {
+		decoded[service] = persimfront.Demand{
+			Tokens: d.GetTokens(), Output: d.GetOutput(), Refused: d.GetRefused(), Requests: d.GetRequests(),
+		}
+	}
+	return decoded
+}
+
+func encodeWindows(windows map[int64]persimduty.Counts) []*persimwire.UsageWindow {
+	list := make([]*persimwire.UsageWindow, 0, len(windows))
+	for window, counts := range windows {
+		copied := make(map[string]int64, len(counts))
+		for organisation, count := range counts {
+			copied[organisation] = count
+		}
+		list = append(list, &persimwire.UsageWindow{Window: window, Counts: copied})
+	}
+	return list
+}
+
+func decodeWindows(list []*persimwire.UsageWindow) map[int64]persimduty.Counts {
+	windows := make(map[int64]persimduty.Counts, len(list))
+	for _, window := range list {
+		windows[window.GetWindow()] = window.GetCounts()
+	}
+	return windows
+}
--- a/persimentry/follow.go
+++ b/persimentry/follow.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"hash/fnv"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,16 +14,6 @@
 	"persimmonport.example/platform"
 )
 
-// pollShare is the part of a bound within which knowledge is read anew.
-const pollShare = 0.45
-
-// pollAge is the age beyond which a host reads the store itself. It varies, so
-// that one host reads first and the others learn from it.
-func pollAge(bound time.Duration) time.Duration {
-	longest := float64(bound) * pollShare
-	return time.Duration(longest * (1 + rand.Float64()) / 2)
-}
-
 // rawCatalogue is the configuration as stored, for hosts that cannot read it.
 type rawCatalogue struct {
 	version int64
@@ -34,7 +23,7 @@
 func (e *entry) followCatalogue(ctx context.Context) {
 	store := &dependency{name: "store, configuration"}
 	every(ctx, freshTick, func(ctx context.Context) {
-		if age, known := e.front.Age(); !known || age >= pollAge(e.deployment.Bounds.Apply) {
+		if age, known := e.front.Age(); !known || age >= e.pollAge(e.deployment.Bounds.Apply) {
 			store.note(e.readCatalogue(ctx))
 		}
 	})
@@ -94,7 +83,7 @@
 func (e *entry) followRoster(ctx context.Context) {
 	store := &dependency{name: "store, upstreams"}
 	every(ctx, freshTick, func(ctx context.Context) {
-		if e.rosterAge() < pollAge(e.deployment.Bounds.Drain) {
+		if e.rosterAge() < e.pollAge(e.deployment.Bounds.Drain) {
 			return
 		}
 		asked := persimclock.Now()
--- a/persimentry/hub.go
+++ b/persimentry/hub.go
@@ -123,9 +123,18 @@
 	return decodeLoads(told.GetLoads())
 }
 
+// rankedHub reports whether this host is one of those that rank first, of which the
+// others learn, also where all ask each other.
+func (e *entry) rankedHub() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.hubNames(), e.deployment.Host)
+}
+
 // isHub reports whether this host passes on what the others say.
 func (e *entry) isHub() bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.hubbed() && slices.Contains(e.hubNames(), e.deployment.Host)
+	large := e.hubbed()
+	e.mu.Unlock()
+	return large && e.rankedHub()
 }
--- /dev/null
+++ b/persimentry/secret.go
@@ -0,0 +1,75 @@
+package persimentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimexchange"
+	"persimmonport.example/persimkeys"
+	"persimmonport.example/persimlog"
+	"persimmonport.example/persimplatform"
+	"persimmonport.example/platform"
+)
+
+// secret returns the secret that all hosts share, and makes it where there is none.
+func (e *entry) secret(ctx context.Context) ([]byte, error) {
+	object, err := e.objects.Get(ctx, dutyKind, secretName)
+	if errors.Is(err, persimplatform.ErrNotFound) {
+		return e.makeSecret(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var secret []byte
+	return secret, trace.Wrap(json.Unmarshal(object.Spec, &secret))
+}
+
+func (e *entry) makeSecret(ctx context.Context) ([]byte, error) {
+	secret, err := persimkeys.NewSecret()
+	if err != nil {
+		return nil, err
+	}
+	spec, err := json.Marshal(secret)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	// Another host may be first, so the stored secret is read again afterwards.
+	if _, err = e.objects.Write(ctx, dutyKind, platform.Object{Name: secretName, Spec: spec}); err != nil {
+		return nil, err
+	}
+	return secret, nil
+}
+
+const secretRetry = 300 * time.Millisecond
+
+func (e *entry) openLinks(ctx context.Context) (persimexchange.Links, func()) {
+	for ctx.Err() == nil {
+		links, cleanup, err := e.tryLinks(ctx)
+		if err == nil {
+			return links, cleanup
+		}
+		klog.InfoS("exchange: no links yet", "error", persimlog.Cause(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(secretRetry):
+		}
+	}
+	return nil, nil
+}
+
+func (e *entry) tryLinks(ctx context.Context) (persimexchange.Links, func(), error) {
+	secret, err := e.secret(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	keys, err := persimkeys.NewShared(secret)
+	if err != nil {
+		return nil, nil, err
+	}
+	return persimexchange.New(e.deployment.Peers, keys)
+}
