Make one client of the platform

Cause: the Connect interface spoke a guess of the platform's store in the manner of Kubernetes, with a client, a wire form and a stand-in of its own, beside the published protocol. Change: persimplatform has one client (client.go, errors.go) behind Objects, Duties and the cloud API; a Store keeps its values as objects of one kind, and waits by the published watch. The stand-in of the platform serves the same store as that of the entry. platform/ decodes and encodes watches; what was dead is in use. Ruled out: dropping the cloud API (start and stop of single hosts), on which the fleets of the Connect interface rest; it has no published form, which cloud.go says. Entity tags are gone with the guess: the protocol has none. Found on the way: the stand-in held its lock while a caller read its answer.

--- a/persimplatform/duties.go
+++ b/persimplatform/duties.go
@@ -41,24 +41,16 @@
 // DefaultDutyTimeout bounds one call of a duty.
 const DefaultDutyTimeout = 1200 * time.Millisecond
 
-type duties struct {
-	base    string
-	timeout time.Duration
-	http    *http.Client
-}
+type duties struct{ *client }
 
 // NewDuties returns a client of the platform's duties at an address and its
 // clean-up function.
 func NewDuties(address string, opts ...Option) (Duties, func()) {
-	c := config{callTimeout: DefaultDutyTimeout}
-	for _, opt := range opts {
-		opt(&c)
-	}
-	client := newHTTPClient(c.transport)
-	return &duties{base: "http://" + address, timeout: c.callTimeout, http: client}, client.CloseIdleConnections
+	c, cleanup := newClient("http://"+address, DefaultDutyTimeout, opts)
+	return duties{c}, cleanup
 }
 
-func (d *duties) ReportUsage(ctx context.Context, fence Fence, window int64, counts map[string]int64) error {
+func (d duties) ReportUsage(ctx context.Context, fence Fence, window int64, counts map[string]int64) error {
 	body, err := platform.EncodeUsage(window, counts)
 	if err != nil {
 		return trace.Wrap(err)
@@ -66,7 +58,7 @@
 	return d.call(ctx, fence, platform.UsagePath, body)
 }
 
-func (d *duties) OrderUpstreams(ctx context.Context, fence Fence, order UpstreamOrder) error {
+func (d duties) OrderUpstreams(ctx context.Context, fence Fence, order UpstreamOrder) error {
 	body, err := platform.EncodeScale(order.Service, order.Centre, order.Count, order.Reclaimable)
 	if err != nil {
 		return trace.Wrap(err)
@@ -74,19 +66,10 @@
 	return d.call(ctx, fence, platform.ScalePath, body)
 }
 
-func (d *duties) call(ctx context.Context, fence Fence, path string, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, d.timeout)
-	defer cancel()
-	data, status, err := send(ctx, d.http, http.MethodPost, d.base+path, body, func(header http.Header) {
-		platform.SetFence(header, fence.Holder, fence.Number)
-	})
-	klog.V(1).InfoS("duty call", "path", path, "fence", fence.Number, "status", status, "answer", string(data))
+func (d duties) call(ctx context.Context, fence Fence, path string, body []byte) error {
+	header := http.Header{}
+	platform.SetFence(header, fence.Holder, fence.Number)
+	data, err := d.callWith(ctx, d.timeout, http.MethodPost, path, body, header)
+	klog.V(1).InfoS("duty call", "path", path, "fence", fence.Number, "answer", string(data), "error", err)
 	return err
 }
-
-// logUnread records entries of a list that could not be read.
-func logUnread(kind string, unread int) {
-	if unread > 0 {
-		klog.V(1).InfoS("list: entries left out", "kind", kind, "unread", unread)
-	}
-}
--- a/persimplatform/store.go
+++ b/persimplatform/store.go
@@ -1,32 +1,22 @@
-// Package persimplatform reaches the platform: its object API, its list of
-// hosts and its cloud API.
+// Package persimplatform reaches the platform: its object API, the calls of
+// duties, its list of hosts and its cloud API.
 package persimplatform
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
-)
 
-// MaxValueBytes is the largest value that an object may hold.
-const MaxValueBytes = 1 << 20
-
-// Errors that a Store returns; callers test for them with errors.Is.
-var (
-	// ErrNotFound reports that no object has the name.
-	ErrNotFound = errors.New("platform: object not found")
-	// ErrConflict reports that the object is at another version.
-	ErrConflict = errors.New("platform: version conflict")
-	// ErrUncertain reports that a write may or may not have taken effect.
-	ErrUncertain = errors.New("platform: write outcome unknown")
-	// ErrUnavailable reports that the platform did not serve the call.
-	ErrUnavailable = errors.New("platform: unavailable")
-	// ErrThrottled reports that the call exceeded a rate limit and had no effect.
-	ErrThrottled = errors.New("platform: rate limit exceeded")
-	// ErrTooLarge reports a value above MaxValueBytes.
-	ErrTooLarge = errors.New("platform: value too large")
+	"github.com/gravitational/trace"
+
+	"persimmonport.example/platform"
 )
 
+// MaxValueBytes is the largest value that an object of a Store may hold; in the
+// store's own form it takes a third more.
+const MaxValueBytes = MaxObjectBytes/4*3 - 1024
+
 // An Object is one versioned value at the platform.
 type Object struct {
 	Name string
@@ -63,64 +53,89 @@
 	Await(ctx context.Context, name string, after uint64) (Object, error)
 }
 
-// HostState is the state of a listed host.
-type HostState string
+// watchWait is how long the platform holds a watch without news.
+const watchWait = 25 * time.Second
 
-// States of a listed host.
-const (
-	HostLive    HostState = "live"
-	HostLeaving HostState = "leaving"
-)
+// store keeps values as objects of one kind.
+type store struct {
+	objects Objects
+	kind    string
+}
+
+// NewStore returns a store of values that are objects of a kind.
+func NewStore(objects Objects, kind string) Store { return &store{objects: objects, kind: kind} }
 
-// A Host is an entry of the platform's list of hosts.
-type Host struct {
-	Name        string    `json:"name"`
-	Address     string    `json:"address"`
-	Incarnation string    `json:"incarnation"`
-	Group       string    `json:"group"`
-	Centre      string    `json:"centre"`
-	Machine     string    `json:"machine"`
-	Reclaimable bool      `json:"reclaimable"`
-	State       HostState `json:"state"`
+// EncodeValue returns the object of the platform that holds a value.
+func EncodeValue(o Object) (platform.Object, error) {
+	spec, err := json.Marshal(o.Value)
+	return platform.Object{Name: o.Name, Revision: int64(o.Version), Spec: spec}, trace.Wrap(err)
 }
 
-// A Notice announces that the platform takes a host back.
-type Notice struct {
-	Address     string        `json:"address"`
-	Incarnation string        `json:"incarnation"`
-	Remaining   time.Duration `json:"remaining_ns"`
+// DecodeValue returns the value that an object of the platform holds.
+func DecodeValue(o platform.Object) (Object, error) {
+	var value []byte
+	if err := json.Unmarshal(o.Spec, &value); err != nil {
+		return Object{}, trace.Wrap(ErrUnavailable, "object %s holds no value: %v", o.Name, err)
+	}
+	return Object{Name: o.Name, Version: uint64(o.Revision), Value: value}, nil
 }
 
-// A Cloud lists, starts and stops hosts.
-type Cloud interface {
-	// Hosts returns the platform's list, which may lag.
-	Hosts(ctx context.Context) ([]Host, error)
-	// Notices returns the reclaim notices in force.
-	Notices(ctx context.Context) ([]Notice, error)
-	// Start asks for a host. A repeated intent starts nothing new.
-	Start(ctx context.Context, order StartOrder) (Host, error)
-	// Stop gives a host back. Stopping an absent host is not an error.
-	Stop(ctx context.Context, order StopOrder) error
+func (s *store) Get(ctx context.Context, name string) (Object, error) {
+	object, err := s.objects.Get(ctx, s.kind, name)
+	if err != nil {
+		return Object{}, err
+	}
+	return DecodeValue(object)
 }
 
-// A StartOrder asks for one host.
-type StartOrder struct {
-	// Intent names the order, so that a repetition has no further effect.
-	Intent      string `json:"intent"`
-	Fence       uint64 `json:"fence"`
-	Group       string `json:"group"`
-	Centre      string `json:"centre"`
-	Machine     string `json:"machine"`
-	Reclaimable bool   `json:"reclaimable"`
+func (s *store) GetNewer(ctx context.Context, name string, version uint64) (Object, bool, error) {
+	object, err := s.Get(ctx, name)
+	if err != nil || object.Version == version {
+		return Object{}, false, err
+	}
+	return object, true, nil
 }
 
-// A StopOrder gives one host back.
-type StopOrder struct {
-	Intent      string `json:"intent"`
-	Fence       uint64 `json:"fence"`
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
+func (s *store) Put(ctx context.Context, object Object) (Object, error) {
+	if len(object.Value) > MaxValueBytes {
+		return Object{}, trace.Wrap(ErrTooLarge)
+	}
+	encoded, err := EncodeValue(object)
+	if err != nil {
+		return Object{}, err
+	}
+	stored, err := s.objects.Write(ctx, s.kind, encoded)
+	if err != nil {
+		return Object{}, err
+	}
+	return object.WithVersion(uint64(stored.Revision)), nil
 }
 
-// ErrRefused reports that the cloud API did not start a host.
-var ErrRefused = errors.New("platform: start refused")
+func (s *store) Await(ctx context.Context, name string, after uint64) (Object, error) {
+	revision := int64(after)
+	for {
+		if revision == 0 {
+			object, err := s.Get(ctx, name)
+			if err == nil && object.Version > after {
+				return object, nil
+			}
+			if err != nil && !errors.Is(err, ErrNotFound) {
+				return Object{}, err
+			}
+		}
+		changes, err := s.objects.Watch(ctx, s.kind, revision, watchWait)
+		if errors.Is(err, ErrExpired) && revision > 0 {
+			revision = 0
+			continue
+		}
+		if err != nil {
+			return Object{}, err
+		}
+		for _, object := range changes.Objects {
+			if object.Name == name && uint64(object.Revision) > after {
+				return DecodeValue(object)
+			}
+		}
+		revision = changes.Revision
+	}
+}
--- a/persimstand/fault.go
+++ b/persimstand/fault.go
@@ -104,13 +104,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
 }
-
-// writeTagged writes a value with its entity tag, or only says that it is unchanged.
-func writeTagged(w http.ResponseWriter, r *http.Request, tag string, value any) {
-	w.Header().Set("ETag", tag)
-	if r.Header.Get("If-None-Match") == tag {
-		w.WriteHeader(http.StatusNotModified)
-		return
-	}
-	writeJSON(w, value)
-}
--- a/persimstand/platform.go
+++ b/persimstand/platform.go
@@ -4,21 +4,18 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"persimmonport.example/persimplatform"
+	"persimmonport.example/platform"
 )
 
 const (
 	platformReads  = 2000
 	platformWrites = 400
-	watchBookmark  = time.Second
-	watchLongest   = 30 * time.Second
 )
 
 // Counts are the calls that a platform has served.
@@ -28,11 +25,6 @@
 	Watches int64 `json:"watches"`
 }
 
-type version struct {
-	object persimplatform.Object
-	at     time.Time
-}
-
 type listed struct {
 	host persimplatform.Host
 	at   time.Time
@@ -44,11 +36,10 @@
 	reads  *rate.Limiter
 	writes *rate.Limiter
 
-	mu      sync.Mutex
-	next    uint64
-	objects map[string][]version
-	changed chan struct{}
-	hosts   []listed
+	store *Store
+
+	mu    sync.Mutex
+	hosts []listed
 	// ListLag is how late changes of hosts appear in the list.
 	listLag time.Duration
 	notices map[string]time.Time
@@ -60,16 +51,17 @@
 
 // NewPlatform returns an empty platform whose host list lags.
 func NewPlatform(listLag time.Duration) *Platform {
-	return &Platform{
+	p := &Platform{
 		faults:  newFaults(),
+		store:   NewStore(),
 		reads:   rate.NewLimiter(platformReads, platformReads),
 		writes:  rate.NewLimiter(platformWrites, platformWrites),
-		objects: map[string][]version{},
-		changed: make(chan struct{}),
 		listLag: listLag,
 		notices: map[string]time.Time{},
 		intents: map[string]persimplatform.Host{},
 	}
+	p.store.fault = p.faults.Get
+	return p
 }
 
 // SetFault replaces the fault switches.
@@ -107,9 +99,7 @@
 // Handler serves the platform's interfaces and its fault switches.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /apis/persimmonport.example/v1/objects/{name}", p.guard(p.get))
-	mux.HandleFunc("PUT /apis/persimmonport.example/v1/objects/{name}", p.guard(p.put))
-	mux.HandleFunc("POST /apis/persimmonport.example/v1/objects/{name}", p.guard(p.put))
+	mux.HandleFunc(platform.ObjectsPath, p.guard(p.objects))
 	mux.HandleFunc("GET /cloud/v1/hosts", p.guard(p.listHosts))
 	mux.HandleFunc("GET /cloud/v1/notices", p.guard(p.listNotices))
 	mux.HandleFunc("POST /cloud/v1/start", p.guard(p.start))
@@ -141,132 +131,59 @@
 	}
 }
 
-func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("watch") == "true" {
-		p.watch(w, r)
-		return
-	}
-	object, ok := p.Lookup(r.PathValue("name"))
-	if !ok {
-		http.Error(w, "not found", http.StatusNotFound)
-		return
+// objects serves the object API; a lost answer breaks the connection of a write
+// that was carried out.
+func (p *Platform) objects(w http.ResponseWriter, r *http.Request) {
+	p.count(r)
+	if r.Method != http.MethodGet && p.faults.takeLoss() {
+		p.store.serve(discard{http.Header{}}, r)
+		cut()
 	}
-	writeTagged(w, r, strconv.Quote(strconv.FormatUint(object.Version, 10)), persimplatform.NewEnvelope(object))
+	p.store.serve(w, r)
 }
 
-// Lookup returns an object as a reader sees it, which lags when the fault is set.
-func (p *Platform) Lookup(name string) (persimplatform.Object, bool) {
-	limit := time.Now().Add(-p.faults.Get().Lag)
+func (p *Platform) count(r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counts.Reads++
-	versions := p.objects[name]
-	for _, v := range slices.Backward(versions) {
-		if !v.at.After(limit) {
-			return v.object, true
-		}
+	_, _, watches := platform.DecodeWatch(r.URL.Query())
+	switch {
+	case r.Method != http.MethodGet:
+		p.counts.Writes++
+	case watches:
+		p.counts.Watches++
+	default:
+		p.counts.Reads++
 	}
-	return persimplatform.Object{}, false
 }
 
-func (p *Platform) latest(name string) (persimplatform.Object, chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	versions := p.objects[name]
-	if len(versions) == 0 {
-		return persimplatform.Object{}, p.changed
+// Lookup returns a value as a reader sees it, which lags when the fault is set.
+func (p *Platform) Lookup(name string) (persimplatform.Object, bool) {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	object, ok := p.store.read(platform.Place{Kind: persimplatform.ValueKind, Name: name})
+	if !ok {
+		return persimplatform.Object{}, false
 	}
-	return versions[len(versions)-1].object, p.changed
+	value, err := persimplatform.DecodeValue(object)
+	return value, err == nil
 }
 
 // Store performs a conditional write and reports whether it took effect.
 func (p *Platform) Store(object persimplatform.Object) (persimplatform.Object, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.counts.Writes++
-	versions := p.objects[object.Name]
-	current := uint64(0)
-	if len(versions) > 0 {
-		current = versions[len(versions)-1].object.Version
-	}
-	if current != object.Version {
+	encoded, err := persimplatform.EncodeValue(object)
+	if err != nil {
 		return persimplatform.Object{}, false
 	}
-	p.next++
-	object.Version = p.next
-	p.objects[object.Name] = append(recent(versions), version{object: object, at: time.Now()})
-	close(p.changed)
-	p.changed = make(chan struct{})
-	return object, true
-}
-
-const keptVersions = 16
-
-func recent(versions []version) []version {
-	return versions[max(0, len(versions)-keptVersions):]
-}
-
-func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	var e persimplatform.Envelope
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<20)).Decode(&e); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if len(e.Spec.Value) > persimplatform.MaxValueBytes {
-		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
-		return
-	}
-	expected, _ := strconv.ParseUint(e.Metadata.ResourceVersion, 10, 64)
-	stored, ok := p.Store(persimplatform.Object{Name: r.PathValue("name"), Version: expected, Value: e.Spec.Value})
-	if p.faults.takeLoss() {
-		cut()
-	}
-	if !ok {
-		http.Error(w, "conflict", http.StatusConflict)
-		return
-	}
-	writeJSON(w, persimplatform.NewEnvelope(stored))
-}
-
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("resourceVersion"), 10, 64)
-	name := r.PathValue("name")
-	p.mu.Lock()
-	p.counts.Watches++
-	p.mu.Unlock()
-	stream := json.NewEncoder(w)
-	end := time.After(watchLongest)
-	bookmark := time.NewTicker(watchBookmark)
-	defer bookmark.Stop()
-	_ = stream.Encode(persimplatform.Event{Type: persimplatform.EventBookmark})
-	_ = http.NewResponseController(w).Flush()
-	for {
-		object, changed := p.latest(name)
-		silent := p.faults.Get().Silent
-		if object.Version > after && !silent {
-			_ = stream.Encode(persimplatform.Event{Type: persimplatform.EventModified, Object: persimplatform.NewEnvelope(object)})
-			return
-		}
-		select {
-		case <-changed:
-		case <-bookmark.C:
-			if !silent {
-				_ = stream.Encode(persimplatform.Event{Type: persimplatform.EventBookmark})
-				_ = http.NewResponseController(w).Flush()
-			}
-		case <-end:
-			return
-		case <-r.Context().Done():
-			return
-		}
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	if p.store.kinds[persimplatform.ValueKind][object.Name].Revision != encoded.Revision {
+		return persimplatform.Object{}, false
 	}
+	stored := p.store.put(persimplatform.ValueKind, object.Name, encoded.Spec)
+	return object.WithVersion(uint64(stored.Revision)), true
 }
 
-func (p *Platform) listHosts(w http.ResponseWriter, r *http.Request) {
-	hosts := p.List()
-	data, _ := json.Marshal(hosts)
-	writeTagged(w, r, strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16)), hosts)
-}
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.List()) }
 
 // List returns the lagging list of hosts.
 func (p *Platform) List() []persimplatform.Host {
--- a/persimstand/store.go
+++ b/persimstand/store.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/platform"
@@ -36,15 +37,39 @@
 
 // A Store is a stand-in of the platform's store and of the calls of duties.
 type Store struct {
+	// fault returns the switches that hold for all callers.
+	fault func() Fault
+
 	mu       sync.Mutex
 	revision int64
 	kinds    map[string]map[string]platform.Object
-	faults   map[string]StoreFault
-	fences   map[string]int64
-	usage    map[int64]map[string]int64
-	broken   []string
-	orders   []StoreOrder
-	calls    map[string]int
+	// history holds the last changes, the oldest first.
+	history []change
+	// changed is closed at the next change.
+	changed chan struct{}
+	faults  map[string]StoreFault
+	fences  map[string]int64
+	holders map[holding]string
+	usage   map[int64]map[string]int64
+	broken  []string
+	orders  []StoreOrder
+	calls   map[string]int
+}
+
+// keptChanges is the number of changes for which a store knows what happened.
+const keptChanges = 1000
+
+type change struct {
+	kind    string
+	object  platform.Object
+	removed bool
+	at      time.Time
+}
+
+// A holding is a fencing number that was used in calls on a path.
+type holding struct {
+	path  string
+	fence int64
 }
 
 // A StoreOrder is an order for upstreams that the stand-in took.
@@ -60,10 +85,13 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
+		fault:    func() Fault { return Fault{} },
+		changed:  make(chan struct{}),
 		revision: 1,
 		kinds:    map[string]map[string]platform.Object{},
 		faults:   map[string]StoreFault{},
 		fences:   map[string]int64{},
+		holders:  map[holding]string{},
 		usage:    map[int64]map[string]int64{},
 		calls:    map[string]int{},
 	}
@@ -131,8 +159,7 @@
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	delete(s.kinds[kind], name)
+	s.drop(kind, name)
 }
 
 // Has reports whether an object exists.
@@ -182,19 +209,123 @@
 	}
 	object := platform.Object{Name: name, Revision: s.revision, Spec: spec}
 	s.kinds[kind][name] = object
+	s.record(change{kind: kind, object: object})
 	return object
 }
 
+func (s *Store) drop(kind, name string) {
+	s.revision++
+	delete(s.kinds[kind], name)
+	s.record(change{kind: kind, object: platform.Object{Name: name, Revision: s.revision}, removed: true})
+}
+
+func (s *Store) record(c change) {
+	c.at = time.Now()
+	s.history = append(s.history, c)
+	s.history = s.history[max(0, len(s.history)-keptChanges):]
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// read returns an object as a reader sees it, which may lag.
+func (s *Store) read(place platform.Place) (platform.Object, bool) {
+	object, ok := s.kinds[place.Kind][place.Name]
+	lag := s.fault().Lag
+	if lag == 0 {
+		return object, ok
+	}
+	for _, c := range slices.Backward(s.history) {
+		if c.kind == place.Kind && c.object.Name == place.Name && time.Since(c.at) >= lag {
+			return c.object, !c.removed
+		}
+	}
+	return platform.Object{}, false
+}
+
+// watch answers once objects of a kind have changed after a revision.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, after int64, wait time.Duration) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		changes, known := s.since(kind, after)
+		changed := s.changed
+		s.mu.Unlock()
+		if !known {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		news := len(changes.Objects)+len(changes.Removed) > 0
+		if news && !s.fault().Silent {
+			data, err := platform.EncodeChanges(changes)
+			reply(w, http.StatusOK, data, err)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-end:
+			data, err := platform.EncodeChanges(platform.Changes{Revision: after})
+			reply(w, http.StatusOK, data, err)
+			return
+		}
+	}
+}
+
+// since returns the changes of a kind after a revision, and whether they are known.
+func (s *Store) since(kind string, after int64) (platform.Changes, bool) {
+	if after < s.revision && (len(s.history) == 0 || s.history[0].object.Revision > after+1) {
+		return platform.Changes{}, false
+	}
+	changes := platform.Changes{Revision: s.revision}
+	for _, c := range s.history {
+		switch {
+		case c.kind != kind || c.object.Revision <= after:
+		case c.removed:
+			changes.Removed = append(changes.Removed, c.object.Name)
+		default:
+			changes.Objects = append(changes.Objects, c.object)
+		}
+	}
+	return changes, true
+}
+
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	place, ok := platform.DecodePlace(r.URL.Path)
+	if after, wait, watches := platform.DecodeWatch(r.URL.Query()); ok && watches {
+		s.watch(w, r, place.Kind, after, wait)
+		return
+	}
+	// The answer is written without the lock, since a caller may read it late.
+	held := &heldAnswer{header: http.Header{}, status: http.StatusOK}
+	s.serveLocked(held, r, place, ok, body)
+	w.WriteHeader(held.status)
+	_, _ = w.Write(held.body)
+}
+
+// A heldAnswer is an answer that is not written yet.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   []byte
+}
+
+func (a *heldAnswer) Header() http.Header    { return a.header }
+func (a *heldAnswer) WriteHeader(status int) { a.status = status }
+func (a *heldAnswer) Write(p []byte) (int, error) {
+	a.body = append(a.body, p...)
+	return len(p), nil
+}
+
+func (s *Store) serveLocked(w http.ResponseWriter, r *http.Request, place platform.Place, isObject bool, body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	place, ok := platform.DecodePlace(r.URL.Path)
-	if !ok {
+	if !isObject {
 		s.serveDuty(w, r, body)
 		return
 	}
@@ -227,7 +358,7 @@
 }
 
 func (s *Store) get(w http.ResponseWriter, place platform.Place) {
-	object, ok := s.kinds[place.Kind][place.Name]
+	object, ok := s.read(place)
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -242,8 +373,7 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	s.revision++
-	delete(s.kinds[place.Kind], place.Name)
+	s.drop(place.Kind, place.Name)
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -282,6 +412,10 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
+	if known, ok := s.holders[holding{r.URL.Path, fence}]; ok && known != holder {
+		s.broken = append(s.broken, "two hosts used one fencing number")
+	}
+	s.holders[holding{r.URL.Path, fence}] = holder
 	s.fences[r.URL.Path] = fence
 	if strings.HasSuffix(r.URL.Path, platform.UsagePath) {
 		s.takeUsage(w, body)
