Do not count an upstream that cannot be reached as an attempt

A request of a route with one attempt ended there, though nothing had been sent; and the upstream, which fails at once, looked idle and drew the next request. Change: up to four upstreams may turn out unreachable for a request before it is refused; they count neither as attempts nor against the budget, and each is avoided at once for a while. Tests: TestUnreachedUpstreamIsPassedOver for all kinds of routes (two failed before), TestUnreachedUpstreamIsAvoidedAtOnce.

--- a/persimfront/attempt_test.go
+++ b/persimfront/attempt_test.go
@@ -85,14 +85,29 @@
 }
 
 func TestUnreachedUpstreamIsPassedOver(t *testing.T) {
-	gone := newWorker(t, "w1", good())
-	require.NoError(t, gone.listener.Close())
-	second := newWorker(t, "w2", good())
-	r := newRig(t)
-	resp, body, err := r.get2(t, "/unsafe/", gone, second)
+	// Routes of one attempt are among them: nothing was sent to the first upstream.
+	for _, path := range []string{"/safe/", "/unsafe/", "/stream/", "/open/"} {
+		t.Run(path, func(t *testing.T) {
+			gone := newWorker(t, "w1", good())
+			require.NoError(t, gone.listener.Close())
+			second := newWorker(t, "w2", good())
+			r := newRig(t)
+			resp, body, err := r.get2(t, path, gone, second)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Equal(t, "good", body)
+		})
+	}
+}
+
+func TestAllUnreachedIsRefused(t *testing.T) {
+	first, second := newWorker(t, "w1", good()), newWorker(t, "w2", good())
+	require.NoError(t, first.listener.Close())
+	require.NoError(t, second.listener.Close())
+	r := newRig(t, first, second)
+	resp, _, err := r.get(t, "POST", "/unsafe/", "Content-Length: 0\r\n")
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, resp.StatusCode)
-	require.Equal(t, "good", body)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 }
 
 func TestOneAttemptMeansOne(t *testing.T) {
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -47,8 +47,12 @@
 	avoid []string
 
 	attempts int
-	upstream string
-	begun    bool
+	// unreached counts upstreams to which no connection came about, repeats the
+	// attempts that were followed by another one.
+	unreached int
+	repeats   int
+	upstream  string
+	begun     bool
 }
 
 // A refusal is an answer of the host's own.
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -38,6 +38,9 @@
 	silenceFactor  = 3
 	silenceMin     = 350 * time.Millisecond
 	silencePerHost = 10 * time.Millisecond
+	// maxUnreached is the number of upstreams that may turn out not to be reachable
+	// for one request. Nothing is sent to them, so they are no attempts.
+	maxUnreached = 4
 	// minLeft is the least time in which another attempt makes sense.
 	minLeft = 60 * time.Millisecond
 )
@@ -47,10 +50,11 @@
 	mayHaveRun := false
 	var kept *answer
 	cause := ""
-	for c.attempts < c.route.MaxAttempts {
-		if c.attempts > 0 && !c.mayRepeat() {
+	for c.attempts < c.route.MaxAttempts && c.unreached < maxUnreached {
+		if c.attempts > c.repeats && !c.mayRepeat() {
 			break
 		}
+		c.repeats = c.attempts
 		choice, refused := c.choose()
 		if refused != nil {
 			cause = refused.cause
@@ -118,10 +122,11 @@
 		return choice, &refusal{status: http.StatusServiceUnavailable, cause: "no upstream", wait: maxRetry}
 	}
 	allowed := min(c.until.Sub(now), c.allowed())
-	if c.attempts == 0 {
+	first := c.attempts+c.unreached == 0
+	if first {
 		f.desk.count(now, c.service, Demand{Tokens: float64(choice.Read)})
 	}
-	if c.attempts == 0 && choice.Expected > allowed {
+	if first && choice.Expected > allowed {
 		f.desk.count(now, c.service, Demand{Refused: 1})
 		return choice, &refusal{
 			status: http.StatusServiceUnavailable, cause: "upstreams are full", wait: choice.Expected - allowed,
@@ -139,15 +144,16 @@
 }
 
 func (c *call) attempt(ctx context.Context, w http.ResponseWriter, choice persimplace.Choice) (end, *answer, string) {
-	c.attempts++
 	c.upstream = choice.Upstream.ID
 	c.avoid = append(c.avoid, choice.Upstream.ID)
 	f := c.front
 	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
 	if err != nil {
-		c.note(choice.Upstream, persimplace.OutcomeFailed, choice)
+		c.unreached++
+		c.note(choice.Upstream, persimplace.OutcomeUnreached, choice)
 		return endNotRun, nil, "upstream not reached"
 	}
+	c.attempts++
 	f.mu.Lock()
 	ticket := f.desk.place(c.service).Send(time.Now(), c.need, choice)
 	f.mu.Unlock()
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -130,6 +130,8 @@
 	OutcomeGood Outcome = iota
 	// OutcomeFailed is a fault of the upstream.
 	OutcomeFailed
+	// OutcomeUnreached says that no connection came about.
+	OutcomeUnreached
 	// OutcomeFull is a refusal without having run.
 	OutcomeFull
 	// OutcomeLeft is an end that says nothing of the upstream.
--- a/persimplace/place_test.go
+++ b/persimplace/place_test.go
@@ -123,6 +123,15 @@
 	require.Equal(t, failing.Upstream.ID, choose(t, p, start.Add(2*DefaultPause), need).Upstream.ID)
 }
 
+func TestUnreachedUpstreamIsAvoidedAtOnce(t *testing.T) {
+	p := newPlacer(1, 4)
+	need := prompt(1, 1)
+	gone := choose(t, p, start, need)
+	p.End(start, p.Send(start, need, gone), OutcomeUnreached)
+	require.NotEqual(t, gone.Upstream.ID, choose(t, p, start.Add(DefaultPause/2), need).Upstream.ID)
+	require.Equal(t, gone.Upstream.ID, choose(t, p, start.Add(2*DefaultPause), need).Upstream.ID)
+}
+
 func TestAvoidanceIsBounded(t *testing.T) {
 	p := newPlacer(1, 4)
 	for _, upstream := range makeUpstreams(4) {
--- a/persimplace/state.go
+++ b/persimplace/state.go
@@ -74,6 +74,8 @@
 		s.pauses = 0
 	case OutcomeFailed:
 		s.failures++
+	case OutcomeUnreached:
+		s.failures = max(s.failures+1, failuresToPause)
 	case OutcomeFull, OutcomeLeft:
 		return
 	}
