--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|' -)
 MODULES = $(patsubst %/go.mod,./%/...,$(wildcard persim*/go.mod) platform/go.mod) ./...
 
-.PHONY: build demo test lint format bench capacity faults generate
+.PHONY: build demo test lint format bench capacity faults soak generate
 
 build:
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
@@ -40,5 +40,11 @@
 faults:
 	PERSIM_FAULT_RUNS=50 $(GO) test -count=1 -v -timeout 60m -run 'TestAcceptedSurvive|TestOrdersRunAtMostOnce' . | grep -v '^[IWE][0-9]'
 
+# Real processes under faults from outside, with fresh seeds; SOAK holds more flags,
+# as in make soak SOAK='-first 7 -fresh 1 -hosts 40'.
+SOAK ?= -fresh 10
+soak:
+	cd persimsoak && $(GO) test -count=1 -v -timeout 60m -run 'TestSoak$$' . $(SOAK)
+
 generate:
 	cd persimwire && $(GO) run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate .
--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -70,6 +70,9 @@
 }
 
 func runEntry(ctx context.Context, path string) error {
+	// First of all, since a signal that nobody awaits ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	flush := logToOutput()
 	defer flush()
 	deployment, err := readDeployment(path)
@@ -87,8 +90,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	klog.InfoS("start", "host", deployment.Host, "centre", deployment.Centre, "callers", deployment.Callers, "version", version)
 	go func() { _ = entry.Run(ctx) }()
 	go followSettings(ctx, path)
