Hold quotas where many hosts learn late of each other

Each could use 0.34 of a low level, one more request at any time and the same slack; after a restart of all hosts each had the whole first level. Ruled out: the rates that others are presumed to use in a steady state (the replay of a steady overload in TestQuotaHoldsInLargeDeployments stayed within the bound). Change: the slack and the shares of a level are those of all hosts together; above nine hosts one that sees a low level takes its turn from its equal part of the rate; what other hosts may use from their start is set aside until they are heard. Test: TestQuotaHoldsInLargeDeployments plays 64 hosts with the lag of hubs: rushes, one and two restarts of all. Three of the six failed before. Below the limit nothing is refused there. The tests of nine hosts are as before.

--- a/persimfront/desk.go
+++ b/persimfront/desk.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// overdraftShare is the part of the permitted slack of a quota that is used, so
-	// that hosts which learn of each other late stay within the rest.
-	overdraftShare = 0.1
+	// overdraftShare is the part of the permitted slack of a quota that all hosts use
+	// together, so that what they learn late stays within the rest.
+	overdraftShare = 0.9
 	// budgetShare is the part of the permitted retries that is used.
 	budgetShare = 0.7
 	// lateShare is how far beyond its target a first answer may be expected.
--- a/persimquota/quota.go
+++ b/persimquota/quota.go
@@ -22,12 +22,22 @@
 	// rateWindow is the time over which the rate of another host is averaged.
 	rateWindow = 2 * time.Second
 	// firstLevel is the part of a burst that is there at the start, since an earlier
-	// process may just have used the rest.
+	// process may just have used the rest. Hosts that start together part it.
 	firstLevel = 0.5
 	minWait    = 50 * time.Millisecond
 	// ownShare is the part of a low level that one host uses before it hears from
 	// the others again, which see the same level.
 	ownShare = 0.34
+	// fewHosts is the number of hosts up to which each has the same slack and the
+	// same share.
+	fewHosts = 9
+	// sharesOfMany is how often many hosts together use a low level before they hear
+	// of each other again.
+	sharesOfMany = 2
+	// ampleFactor is by how much more of an ample level one of many hosts uses.
+	ampleFactor = 4
+	// turnTime is the time for which a host saves its part of the rate.
+	turnTime = 3 * time.Second
 	// ample is the part of a burst above which a host uses the level as it likes.
 	ample = 0.5
 )
@@ -43,7 +53,8 @@
 // WithSilence sets the time after which a host counts as out of reach.
 func WithSilence(silence time.Duration) Option { return func(c *config) { c.silence = silence } }
 
-// WithOverdraft sets how far, in units of the quota, admission may go beyond the level.
+// WithOverdraft sets how far, in units of the quota, the admission of all hosts
+// together may go beyond the level.
 func WithOverdraft(units float64) Option { return func(c *config) { c.overdraft = units } }
 
 // Quotas admits requests of organisations. It is not safe for concurrent use.
@@ -70,6 +81,8 @@
 	admitted float64
 	// unheard is what was admitted here since the other hosts were heard.
 	unheard float64
+	// turn is what this host may still take of a low level, as one of many.
+	turn float64
 }
 
 type peer struct {
@@ -102,7 +115,7 @@
 	for name, quota := range limits {
 		known, ok := q.accounts[name]
 		if !ok {
-			q.accounts[name] = &account{quota: quota, level: quota.Burst * firstLevel}
+			q.open(name, quota)
 			continue
 		}
 		known.quota = quota
@@ -115,6 +128,24 @@
 	}
 }
 
+// open adds an account of which each host that was not heard yet has a part.
+func (q *quotas) open(name string, quota persimcatalog.Quota) {
+	a := &account{quota: quota, level: quota.Burst * firstLevel}
+	q.accounts[name] = a
+	for _, p := range q.peers {
+		if p.incarnation == "" {
+			a.setAside(name, p, len(q.peers)+1)
+		}
+	}
+}
+
+// setAside takes the part off the level that another host has at its start.
+func (a *account) setAside(name string, p *peer, hosts int) {
+	part := a.quota.Burst * firstLevel / float64(hosts)
+	a.level -= part
+	p.presumed[name] += part
+}
+
 func (q *quotas) SetHosts(now time.Time, hosts []string) {
 	q.refill(now)
 	next := map[string]*peer{}
@@ -122,6 +153,9 @@
 		known, ok := q.peers[host]
 		if !ok {
 			known = newPeer("", now)
+			for name, a := range q.accounts {
+				a.setAside(name, known, len(hosts)+1)
+			}
 		}
 		next[host] = known
 	}
@@ -154,18 +188,31 @@
 			gained -= used
 		}
 		a.level = min(a.level+gained, a.quota.Burst)
+		a.turn = min(a.turn+q.part(a)*elapsed, q.longestTurn(a))
 	}
 }
 
+// part is this host's equal part of an organisation's rate.
+func (q *quotas) part(a *account) float64 { return a.quota.PerSecond / float64(len(q.peers)+1) }
+
+// longestTurn is the most that a host may save of its part of the rate.
+func (q *quotas) longestTurn(a *account) float64 { return q.part(a) * turnTime.Seconds() }
+
 // presumption is the rate that another host is taken to use just now.
 func (q *quotas) presumption(p *peer, organisation string, a *account, now time.Time) float64 {
-	share := a.quota.PerSecond / float64(len(q.peers)+1)
-	if now.Sub(p.heard) > q.longestSilence() {
-		return share
+	if p.incarnation == "" || now.Sub(p.heard) > q.longestSilence() {
+		return q.part(a)
+	}
+	if q.many() && a.level < a.quota.Burst*ample {
+		return max(p.rates[organisation], q.part(a))
 	}
 	return p.rates[organisation]
 }
 
+// many reports whether there are so many hosts that those which see the same low
+// level must part it.
+func (q *quotas) many() bool { return len(q.peers)+1 > fewHosts }
+
 func (q *quotas) longestSilence() time.Duration {
 	return q.silence + time.Duration(len(q.peers))*silencePerHost
 }
@@ -177,13 +224,14 @@
 	}
 	q.refill(now)
 	if !q.covered(now, a, cost) {
-		missing := min(cost-q.overdraft, a.quota.Burst) - a.level
+		missing := min(cost-q.slack(), a.quota.Burst) - a.level
 		wait := time.Duration(missing / a.quota.PerSecond * float64(time.Second))
 		return max(wait, minWait), false
 	}
 	a.level -= cost
 	a.admitted += cost
 	a.unheard += cost
+	a.turn = max(a.turn-cost, -q.longestTurn(a))
 	return 0, true
 }
 
@@ -192,14 +240,26 @@
 	if a.level >= a.quota.Burst {
 		return true
 	}
-	if a.level-cost < -q.overdraft {
+	if a.level-cost < -q.slack() {
 		return false
 	}
+	if !q.many() && a.level-cost > a.quota.Burst*ample {
+		return true
+	}
+	usable := (a.level + a.unheard + q.slack()) * q.share(now)
 	if a.level-cost > a.quota.Burst*ample {
+		usable *= ampleFactor
+	}
+	if a.unheard+cost <= usable {
 		return true
 	}
-	usable := (a.level + a.unheard + q.overdraft) * q.share(now)
-	return a.unheard == 0 || a.unheard+cost <= usable
+	return a.unheard == 0 && (!q.many() || a.turn >= min(cost, q.longestTurn(a)))
+}
+
+// slack is how far this host may go beyond the level: each other one may do the same
+// before they hear of each other.
+func (q *quotas) slack() float64 {
+	return q.overdraft / float64(max(len(q.peers)+1, fewHosts))
 }
 
 // share is the part of the level that this host may use unheard. What is left for
@@ -211,7 +271,11 @@
 			reached++
 		}
 	}
-	return max(ownShare, 1/float64(reached))
+	own := ownShare
+	if q.many() {
+		own = sharesOfMany / float64(len(q.peers)+1)
+	}
+	return max(own, 1/float64(reached))
 }
 
 func (q *quotas) Refund(organisation string, cost float64) {
@@ -246,14 +310,16 @@
 	p.admitted = admitted
 }
 
-// replace takes a new start of a host. What a host admitted before it was first
-// heard was set aside for it or is over.
+// replace takes a new start of a host. Of what a host admitted before it was first
+// heard, no more counts than was set aside for it: the rest is over.
 func (q *quotas) replace(at time.Time, host, incarnation string, admitted map[string]float64) *peer {
 	former := q.peers[host]
 	p := newPeer(incarnation, at)
 	p.presumed = former.presumed
 	if former.incarnation == "" {
-		p.admitted = admitted
+		for name, sum := range admitted {
+			p.admitted[name] = sum - min(sum, p.presumed[name])
+		}
 	}
 	q.peers[host] = p
 	return p
--- a/persimquota/quota_test.go
+++ b/persimquota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 }
 
 func (c *cluster) newHost(self, hosts int, now time.Time) Quotas {
-	q := New(WithOverdraft(testSlack * 0.1))
+	q := New(WithOverdraft(testSlack * 0.9))
 	q.SetQuotas(now, map[string]persimcatalog.Quota{"o": {PerSecond: testRate, Burst: testRate}})
 	var others []string
 	for i := range hosts {
@@ -158,6 +159,87 @@
 	c.requireWithin(t)
 }
 
+const (
+	// largeHosts learn of each other through hubs, every largeExchange and as of
+	// largeLag before.
+	largeHosts    = 64
+	largeExchange = 600 * time.Millisecond
+	largeLag      = 300 * time.Millisecond
+)
+
+// runLarge is run with the exchange of a large deployment. All hosts restart at the
+// given times.
+func (c *cluster) runLarge(random *rand.Rand, from, length time.Duration, multiple float64, restarts ...time.Duration) {
+	told := make([]map[string]float64, len(c.hosts))
+	births := slices.Clone(c.births)
+	c.run(random, from, length, multiple, func(at time.Duration) {
+		now := start.Add(at)
+		if slices.Contains(restarts, at) {
+			for i := range c.hosts {
+				c.hosts[i] = c.newHost(i, len(c.hosts), now)
+				c.births[i] = at.String()
+			}
+		}
+		if (at+largeLag)%largeExchange == 0 {
+			births = slices.Clone(c.births)
+			for i, host := range c.hosts {
+				told[i] = host.Admitted()
+			}
+		}
+		if at%largeExchange != 0 || told[0] == nil {
+			return
+		}
+		for i, to := range c.hosts {
+			for j := range c.hosts {
+				if i != j && births[j] == c.births[j] {
+					to.Observe(now, now.Add(-largeLag), fmt.Sprint(j), births[j], told[j])
+				}
+			}
+		}
+	})
+}
+
+func newLargeCluster() *cluster {
+	c := newCluster(largeHosts)
+	// Nobody hears another one but through hubs.
+	for i := range largeHosts {
+		c.cut[i] = true
+	}
+	return c
+}
+
+func TestQuotaHoldsInLargeDeployments(t *testing.T) {
+	tests := map[string]struct {
+		before, during float64
+		restarts       []time.Duration
+	}{
+		"steady":              {before: 2, during: 2},
+		"a sudden rush":       {before: 0.4, during: 5},
+		"all restart":         {before: 0.5, during: 0.9, restarts: []time.Duration{14 * time.Second}},
+		"all restart, rush":   {before: 0.5, during: 5, restarts: []time.Duration{14 * time.Second}},
+		"all restart, twice":  {before: 0.5, during: 5, restarts: []time.Duration{13 * time.Second, 16 * time.Second}},
+		"all restart at once": {before: 5, during: 5, restarts: []time.Duration{14 * time.Second}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newLargeCluster()
+			random := rand.New(rand.NewPCG(5, 1))
+			c.runLarge(random, 0, 10*time.Second, tt.before)
+			c.runLarge(random, 10*time.Second, 20*time.Second, tt.during, tt.restarts...)
+			c.requireWithin(t)
+		})
+	}
+}
+
+func TestQuotaAdmitsBelowLimitInLargeDeployments(t *testing.T) {
+	c := newLargeCluster()
+	random := rand.New(rand.NewPCG(6, 1))
+	// Hosts know of each other before callers come.
+	c.runLarge(random, 0, 5*time.Second, 0)
+	c.runLarge(random, 5*time.Second, 30*time.Second, 0.55)
+	require.Zero(t, c.refused)
+}
+
 func TestAdmitSaysWhen(t *testing.T) {
 	q := New()
 	quotas := map[string]persimcatalog.Quota{"o": {PerSecond: 100, Burst: 200}}
