Let the hosts with most memory be hubs, and let the holder ask

Change: all hosts rank hubs by memory, then by name; the holder is told every 0.9 s beside that, and itself asks hosts that it has not heard for 1.2 s; a hub that was passed over is tried again within a second or two; hosts with little memory leave a free lease to others for up to a second.

--- a/persimduty/lease.go
+++ b/persimduty/lease.go
@@ -49,6 +49,8 @@
 	Written(sent persimclock.Instant, record Record, revision int64)
 	// Held returns the fencing number while the host may act.
 	Held(now persimclock.Instant) (int64, bool)
+	// SetPatience sets how long the host leaves a free lease to others.
+	SetPatience(patience time.Duration)
 	// Lose stops the host from acting until it takes the lease anew.
 	Lose()
 	// Release returns the record to write at a revision to give the lease up.
@@ -62,6 +64,7 @@
 	incarnation string
 	length      time.Duration
 
+	patience time.Duration
 	known    bool
 	record   Record
 	revision int64
@@ -148,13 +151,17 @@
 // before the one that gave it up waits, so that two hosts do not take turns
 // within one lease.
 func (l *lease) free(now persimclock.Instant) bool {
-	unchanged := now.Sub(l.seen) > l.length
-	if l.record.Holder == "" || unchanged {
+	waited := now.Sub(l.seen)
+	if waited > l.length+l.patience {
 		return true
 	}
-	return l.record.Released && l.record.Former != l.host && l.record.Holder != l.host
+	open := l.record.Holder == "" ||
+		l.record.Released && l.record.Former != l.host && l.record.Holder != l.host
+	return open && waited >= l.patience
 }
 
+func (l *lease) SetPatience(patience time.Duration) { l.patience = patience }
+
 func (l *lease) Written(sent persimclock.Instant, record Record, revision int64) {
 	l.known = true
 	l.record = record
--- a/persimduty/lease_test.go
+++ b/persimduty/lease_test.go
@@ -45,6 +45,29 @@
 	}
 }
 
+func TestLeaseIsLeftToLargerHosts(t *testing.T) {
+	const patience = 600 * time.Millisecond
+	for name, record := range map[string]Record{
+		"free":      {},
+		"released":  {Holder: "b", Fence: 4, Released: true},
+		"not alive": {Holder: "b", Fence: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLease("a", "1", testLease)
+			l.SetPatience(patience)
+			l.Observe(instant(0), record, 9)
+			free := time.Duration(0)
+			if name == "not alive" {
+				free = testLease
+			}
+			_, _, ok := l.Propose(instant(free + patience - 1))
+			require.False(t, ok)
+			_, _, ok = l.Propose(instant(free + patience + 1))
+			require.True(t, ok)
+		})
+	}
+}
+
 func TestLeaseHolderStopsInTime(t *testing.T) {
 	l := NewLease("a", "1", testLease)
 	l.Observe(instant(0), Record{}, 1)
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -40,7 +40,7 @@
 const maxBackOff = 2 * time.Second
 
 // due returns the hosts to ask now: those that were not asked for longest, or in a
-// large deployment a hub.
+// large deployment hubs and few others.
 func (e *entry) due() map[string]peer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -60,12 +60,10 @@
 		}
 		return list
 	}
-	if name, ok := e.hubDue(now, names); ok {
-		take(name)
-	}
-	if len(names) > 0 && now.Sub(e.strayed) >= strayInterval {
-		e.strayed = now
-		take(names[0])
+	for _, choose := range []func(time.Time, []string) (string, bool){e.hubDue, e.holderDue, e.unheardDue, e.strayDue} {
+		if name, ok := choose(now, names); ok {
+			take(name)
+		}
 	}
 	return list
 }
@@ -150,6 +148,7 @@
 		Fence:       fence,
 		Beat:        beat,
 		Address:     e.deployment.Peers,
+		Memory:      e.deployment.MemoryBytes,
 		Reports:     encodeReports(told.Reports),
 		Catalogue:   &persimwire.Snapshot{Version: e.raw.version, AgeMs: unknownAge},
 		Roster: &persimwire.Snapshot{
--- a/persimentry/hosts.go
+++ b/persimentry/hosts.go
@@ -32,6 +32,8 @@
 type hostEntry struct {
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
+	// Memory is the size of the host's machine, in bytes.
+	Memory int64 `json:"memory"`
 }
 
 // A peer is another host.
@@ -112,8 +114,12 @@
 	return len(e.peers) == 0 || rand.IntN(len(e.peers)+1) < freeLists
 }
 
+func (e *entry) ownEntry() hostEntry {
+	return hostEntry{Address: e.deployment.Peers, Incarnation: e.incarnation, Memory: e.deployment.MemoryBytes}
+}
+
 func (e *entry) register(ctx context.Context) error {
-	spec, err := json.Marshal(hostEntry{Address: e.deployment.Peers, Incarnation: e.incarnation})
+	spec, err := json.Marshal(e.ownEntry())
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -162,7 +168,7 @@
 func (e *entry) meet(told *persimwire.Exchange) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	entry := hostEntry{Address: told.GetAddress(), Incarnation: told.GetIncarnation()}
+	entry := hostEntry{Address: told.GetAddress(), Incarnation: told.GetIncarnation(), Memory: told.GetMemory()}
 	if known, ok := e.peers[told.GetHost()]; ok && known.hostEntry == entry || entry.Address == "" {
 		return
 	}
--- a/persimentry/hub.go
+++ b/persimentry/hub.go
@@ -1,6 +1,7 @@
 package persimentry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -20,6 +21,11 @@
 	hubs = 2
 	// hubInterval is how often a host asks a hub.
 	hubInterval = 300 * time.Millisecond
+	// holderInterval is how often a host tells the holder of the lease what it counted.
+	holderInterval = 900 * time.Millisecond
+	// unheardAfter is the time after which the holder itself asks a host that it did
+	// not hear.
+	unheardAfter = 1200 * time.Millisecond
 	// strayInterval is how often a host asks one that is no hub, so that knowledge
 	// passes when hubs are cut off.
 	strayInterval = time.Second
@@ -30,29 +36,30 @@
 // hubbed reports whether the deployment is too large for all to ask each other.
 func (e *entry) hubbed() bool { return len(e.peers)+1 > meshHosts }
 
-// hubNames returns the hubs: the holder of the lease, which needs what all hosts
-// count, and those that all hosts rank first.
+// hubNames returns the hubs, which all hosts rank alike: those with most memory
+// first, since machines with little of it also have slow links.
 func (e *entry) hubNames() []string {
-	holder, _, _ := e.lease.Latest()
+	ranked := e.rankedHosts()
+	ranked = slices.DeleteFunc(ranked, func(name string) bool { return e.peers[name].fails >= failsToSkip })
+	return ranked[:min(len(ranked), hubs)]
+}
+
+func (e *entry) rankedHosts() []string {
 	names := append(slices.Collect(maps.Keys(e.peers)), e.deployment.Host)
-	names = slices.DeleteFunc(names, func(name string) bool { return e.peers[name].fails >= failsToSkip })
 	slices.SortFunc(names, func(a, b string) int {
-		if (a == holder) != (b == holder) {
-			return boolOrder(a == holder)
-		}
-		if xxhash.Sum64String(a) < xxhash.Sum64String(b) {
-			return -1
-		}
-		return 1
+		return cmp.Or(
+			cmp.Compare(e.memoryOf(b), e.memoryOf(a)),
+			cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)),
+		)
 	})
-	return names[:min(len(names), hubs)]
+	return names
 }
 
-func boolOrder(first bool) int {
-	if first {
-		return -1
+func (e *entry) memoryOf(name string) int64 {
+	if name == e.deployment.Host {
+		return e.deployment.MemoryBytes
 	}
-	return 1
+	return e.peers[name].Memory
 }
 
 // hubDue returns the hub that was not asked for longest, where one is due.
@@ -60,8 +67,7 @@
 	if now.Sub(e.hubAsked) < hubInterval {
 		return "", false
 	}
-	names := e.hubNames()
-	names = slices.DeleteFunc(names, func(name string) bool { return !slices.Contains(askable, name) })
+	names := slices.DeleteFunc(e.hubNames(), func(name string) bool { return !slices.Contains(askable, name) })
 	if len(names) == 0 {
 		return "", false
 	}
@@ -69,6 +75,36 @@
 	return slices.MinFunc(names, func(a, b string) int { return e.peers[a].asked.Compare(e.peers[b].asked) }), true
 }
 
+// holderDue returns the holder of the lease, which needs what all hosts count.
+func (e *entry) holderDue(now time.Time, askable []string) (string, bool) {
+	holder, _, _ := e.lease.Latest()
+	due := slices.Contains(askable, holder) && now.Sub(e.peers[holder].asked) >= holderInterval
+	return holder, due
+}
+
+// unheardDue returns the host that the holder of the lease has not heard for longest.
+func (e *entry) unheardDue(now time.Time, askable []string) (string, bool) {
+	if holder, _, _ := e.lease.Latest(); holder != e.deployment.Host || len(askable) == 0 {
+		return "", false
+	}
+	name := slices.MinFunc(askable, func(a, b string) int { return e.peers[a].heard.Compare(e.peers[b].heard) })
+	return name, now.Sub(e.peers[name].heard) >= unheardAfter
+}
+
+// strayDue returns a host that is no hub or was passed over as one.
+func (e *entry) strayDue(now time.Time, askable []string) (string, bool) {
+	if len(askable) == 0 || now.Sub(e.strayed) < strayInterval {
+		return "", false
+	}
+	e.strayed = now
+	for _, name := range e.rankedHosts()[:hubs] {
+		if slices.Contains(askable, name) && e.peers[name].fails >= failsToSkip {
+			return name, true
+		}
+	}
+	return askable[0], true
+}
+
 // relay adds what this host knows of the others, where it is a hub.
 func (e *entry) relay(state *persimwire.Exchange, asker string) {
 	if !e.hubbed() || !slices.Contains(e.hubNames(), e.deployment.Host) {
--- a/persimentry/lease.go
+++ b/persimentry/lease.go
@@ -30,6 +30,22 @@
 	})
 }
 
+const (
+	// ampleMemory is the memory from which on a host takes a free lease at once.
+	ampleMemory = 512 << 20
+	// longestPatience is how long a host without memory leaves it to others: whoever
+	// holds the lease hears all hosts, for which small machines are too slow.
+	longestPatience = time.Second
+)
+
+// patience returns how long a host leaves a free lease to others.
+func patience(memory int64) time.Duration {
+	if memory <= 0 || memory >= ampleMemory {
+		return 0
+	}
+	return time.Duration(float64(longestPatience) * (1 - float64(memory)/ampleMemory))
+}
+
 // quietShare is the part of the lease after which a host that heard of no renewal
 // reads the lease itself.
 const quietShare = 0.6
