Plan the fleet from all entries, from the first second and beside reports

The demand was also told too low for three seconds after it began. Ruled out: refused orders (none were to be had for a while, but no other was made). Change: a host looks at the upstreams for 4.5 s after it first knew some, not after it took the lease; reports and orders are duties of their own; demand is corrected for the time that it has been seen.

--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -177,7 +177,7 @@
 
 func (e *entry) Run(ctx context.Context) error {
 	duties := []func(context.Context){
-		e.followCatalogue, e.followRoster, e.followHosts, e.followLease, e.doDuties, e.sweep, e.exchange,
+		e.followCatalogue, e.followRoster, e.followHosts, e.followLease, e.doReports, e.doOrders, e.sweep, e.exchange,
 	}
 	var running sync.WaitGroup
 	for _, duty := range duties {
--- a/persimentry/follow.go
+++ b/persimentry/follow.go
@@ -66,8 +66,10 @@
 type rosterState struct {
 	revision  int64
 	confirmed persimclock.Instant
-	objects   []platform.Object
-	digest    uint64
+	// known is when a list came first.
+	known   time.Time
+	objects []platform.Object
+	digest  uint64
 	// returned is when the list could be read again after no host could read it.
 	returned persimclock.Instant
 }
@@ -128,6 +130,9 @@
 	if e.rosterAt.confirmed != 0 && confirmed.Sub(e.rosterAt.confirmed) > lapseAfter {
 		e.rosterAt.returned = confirmed
 	}
+	if e.rosterAt.known.IsZero() {
+		e.rosterAt.known = time.Now()
+	}
 	e.rosterAt.revision = revision
 	e.rosterAt.confirmed = confirmed
 	e.rosterAt.objects = objects
--- a/persimentry/orders.go
+++ b/persimentry/orders.go
@@ -35,7 +35,7 @@
 	e.mu.Lock()
 	planner, ok := e.planners[service.Name]
 	if !ok {
-		planner = persimfleet.NewUpstreamPlanner()
+		planner = persimfleet.NewUpstreamPlanner(e.rosterAt.known)
 		e.planners[service.Name] = planner
 	}
 	load := e.load(service.Name, own)
--- a/persimfleet/upstreams.go
+++ b/persimfleet/upstreams.go
@@ -93,7 +93,7 @@
 	holds  map[string]held
 	// first is the number of upstreams that were there before any work was seen.
 	first int
-	began time.Time
+	known time.Time
 	// peak is the work that is planned for; it rises at once and falls slowly.
 	peak   float64
 	peakAt time.Time
@@ -101,9 +101,10 @@
 	alarm time.Time
 }
 
-// NewUpstreamPlanner returns a planner that has ordered nothing.
-func NewUpstreamPlanner() UpstreamPlanner {
-	return &upstreamPlanner{orders: map[Stock]placed{}, holds: map[string]held{}}
+// NewUpstreamPlanner returns a planner that has ordered nothing, of a host that has
+// known upstreams since a time.
+func NewUpstreamPlanner(known time.Time) UpstreamPlanner {
+	return &upstreamPlanner{orders: map[Stock]placed{}, holds: map[string]held{}, known: known}
 }
 
 // follow returns the work to plan for. Before any was seen, it is what the
@@ -125,19 +126,16 @@
 }
 
 // settleTime is how long the upstreams are looked at before anything is ordered:
-// they register one after the other.
-const settleTime = 2 * time.Second
+// when all start together, entries come up to three seconds and a heartbeat late.
+const settleTime = 4500 * time.Millisecond
 
 func (p *upstreamPlanner) Plan(now time.Time, scaling persimcatalog.Scaling, upstreams []persimcatalog.Upstream, load Load) []UpstreamOrder {
 	centres := sortedCentres(scaling)
 	if len(centres) == 0 {
 		return nil
 	}
-	if p.began.IsZero() {
-		p.began = now
-	}
 	work := p.follow(now, load.Work(), len(upstreams))
-	if now.Sub(p.began) < settleTime || len(upstreams) == 0 {
+	if now.Sub(p.known) < settleTime || len(upstreams) == 0 {
 		return nil
 	}
 	stock := count(upstreams)
--- a/persimfleet/upstreams_test.go
+++ b/persimfleet/upstreams_test.go
@@ -33,7 +33,7 @@
 }
 
 func newYard() *yard {
-	return &yard{planner: NewUpstreamPlanner(), leaving: map[Stock]int{}, ready: map[Stock]int{{Centre: "a"}: 6, {Centre: "b"}: 6, {Centre: "c"}: 6}}
+	return &yard{planner: NewUpstreamPlanner(fleetStart), leaving: map[Stock]int{}, ready: map[Stock]int{{Centre: "a"}: 6, {Centre: "b"}: 6, {Centre: "c"}: 6}}
 }
 
 func (y *yard) upstreams() []persimcatalog.Upstream {
@@ -123,6 +123,24 @@
 	require.Zero(t, y.ready[Stock{Centre: "a"}], "reclaimable upstreams have taken over")
 }
 
+func TestFleetWaitsForLateEntries(t *testing.T) {
+	y := newYard()
+	all := y.ready
+	y.ready = map[Stock]int{{Centre: "a"}: 1}
+	y.run(0, 3*time.Second, Load{}, nil)
+	y.ready = all
+	y.run(3*time.Second, 9*time.Second, Load{}, func(time.Duration) {
+		require.GreaterOrEqual(t, y.total(), 18)
+	})
+}
+
+func TestLaterHolderOrdersAtOnce(t *testing.T) {
+	y := newYard()
+	y.planner = NewUpstreamPlanner(fleetStart.Add(-time.Minute))
+	y.step(fleetStart, Load{Tokens: 1_200_000})
+	require.NotZero(t, y.orders)
+}
+
 func TestFleetSurvivesReclaimsInTurn(t *testing.T) {
 	y := newYard()
 	y.run(0, 10*time.Second, Load{}, nil)
--- a/persimfront/desk.go
+++ b/persimfront/desk.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,8 +26,10 @@
 	spread   = 0.5
 	minRetry = 100 * time.Millisecond
 	maxRetry = 2 * time.Second
-	// demandWindow is the time over which demand is averaged.
+	// demandWindow is the time over which demand is averaged, demandStart the least
+	// time that counts when it has begun only now.
 	demandWindow = 3 * time.Second
+	demandStart  = time.Second
 )
 
 // A Demand is the work for a service that arrives at a host, for each second.
@@ -54,6 +57,9 @@
 	budgets map[string]persimretry.Budget
 	demand  map[string]Demand
 	at      time.Time
+	// begun and counted are when requests came first after a pause, and last.
+	begun   time.Time
+	counted time.Time
 	hosts   int
 }
 
@@ -152,6 +158,10 @@
 
 func (d *desk) count(now time.Time, service string, size Demand) {
 	d.decay(now)
+	if now.Sub(d.counted) > demandWindow {
+		d.begun = now
+	}
+	d.counted = now
 	size = size.scaled(1 / demandWindow.Seconds())
 	sum := d.demand[service]
 	sum.Tokens += size.Tokens
@@ -178,11 +188,18 @@
 	d.decay(now)
 	copied := make(map[string]Demand, len(d.demand))
 	for name, sum := range d.demand {
-		copied[name] = sum
+		copied[name] = sum.scaled(d.missed(now))
 	}
 	return copied
 }
 
+// missed returns the factor by which the average is too low while requests have
+// come for less than its window.
+func (d *desk) missed(now time.Time) float64 {
+	seen := max(now.Sub(d.begun), demandStart)
+	return 1 / (1 - math.Exp(-seen.Seconds()/demandWindow.Seconds()))
+}
+
 // retryAfter returns when a caller should come back, spread around a wait.
 func retryAfter(wait time.Duration) time.Duration {
 	wait = min(max(wait, minRetry), maxRetry)
