--- a/cmd/persimstand/main.go
+++ b/cmd/persimstand/main.go
@@ -17,9 +17,12 @@
 
 func main() {
 	root := &cli.Command{
-		Name:     "persimstand",
-		Usage:    "run a stand-in of the platform, a model engine or a plain service",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand()},
+		Name:  "persimstand",
+		Usage: "run a stand-in of the platform, an engine, a service or an upstream",
+		Commands: []*cli.Command{
+			platformCommand(), engineCommand(), serviceCommand(),
+			upstreamCommand(), configureCommand(), settingsCommand(),
+		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "persimstand:", err)
--- a/persimcatalog/catalogue.go
+++ b/persimcatalog/catalogue.go
@@ -3,6 +3,7 @@
 package persimcatalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -174,6 +175,15 @@
 // Version returns the version, which only grows.
 func (c Catalogue) Version() int64 { return c.version }
 
+// Routes returns all routes, of each host name those with longer prefixes first.
+func (c Catalogue) Routes() []Route {
+	var all []Route
+	for _, host := range slices.Sorted(maps.Keys(c.routes)) {
+		all = append(all, c.routes[host]...)
+	}
+	return all
+}
+
 // Limits returns what a caller may send.
 func (c Catalogue) Limits() Limits { return c.limits }
 
--- a/persimsoak/caller.go
+++ b/persimsoak/caller.go
@@ -13,13 +13,13 @@
 	"strings"
 	"time"
 
+	"persimmonport.example/persimstand"
 	"persimmonport.example/platform"
 )
 
 const (
-	readPath   = "/read/"
-	orderPath  = "/order/"
-	streamPath = "/stream/"
+	readPath  = "/read/"
+	orderPath = "/order/"
 	// addedPath belongs to a route that comes and goes.
 	addedPath = "/added/"
 
@@ -110,7 +110,7 @@
 		o.path, method = orderPath, http.MethodPost
 		o.body = bytes.Repeat([]byte(o.id), 1+c.random.IntN(60))
 	case 5, 6:
-		o.path, method = streamPath, http.MethodPost
+		o.path, method = persimstand.StreamPath, http.MethodPost
 	default:
 		o.path = addedPath
 	}
@@ -155,7 +155,7 @@
 }
 
 // isStream reports whether the answer is a series of events.
-func (o outcome) isStream() bool { return strings.HasPrefix(o.path, streamPath) }
+func (o outcome) isStream() bool { return strings.HasPrefix(o.path, persimstand.StreamPath) }
 
 // mayRepeat reports whether the request may run more than once.
 func (o outcome) mayRepeat() bool {
--- a/persimsoak/judge.go
+++ b/persimsoak/judge.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"persimmonport.example/persimstand"
 )
 
 // A Report is what one run showed.
@@ -88,15 +90,15 @@
 	if o.status != http.StatusOK {
 		return
 	}
-	signed := slices.ContainsFunc(runs, func(r run) bool { return signature(r.upstream, o.id) == o.signature })
+	signed := slices.ContainsFunc(runs, func(r run) bool { return persimstand.Signature(r.upstream, o.id) == o.signature })
 	if !signed || o.echoed != o.id {
 		j.breaks("answers belong to their requests", "%s got signature %q and id %q", o.id, o.signature, o.echoed)
 	}
-	want := answerTo(o.path, o.body)
+	want := persimstand.AnswerTo(o.path, o.body)
 	if o.isStream() {
 		want = ""
-		for number := 1; number <= streamEvents; number++ {
-			want += event(o.id, number)
+		for number := 1; number <= persimstand.StreamEvents; number++ {
+			want += persimstand.StreamEvent(o.id, number)
 		}
 	}
 	got := string(o.answer)
--- a/persimsoak/operator.go
+++ b/persimsoak/operator.go
@@ -1,23 +1,16 @@
 package persimsoak
 
 import (
-	"bytes"
-	_ "embed"
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"text/template"
 	"time"
 
+	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimstand"
 	"persimmonport.example/platform"
 )
 
-//go:embed testdata/catalogue.tmpl
-var catalogueText string
-
-var catalogueTemplate = template.Must(template.New("catalogue").Parse(catalogueText))
-
 // An operator changes routes and keys, and remembers when the store took them.
 type operator struct {
 	store *persimstand.Store
@@ -38,8 +31,12 @@
 	there bool
 }
 
-// firstKeys is the number of keys in force at any time.
-const firstKeys = 3
+const (
+	// firstKeys is the number of keys in force at any time.
+	firstKeys = 3
+	// target is the time within which an answer is on time.
+	target = 500 * time.Millisecond
+)
 
 func newOperator(store *persimstand.Store) *operator {
 	o := &operator{store: store, issued: map[string]time.Time{}, revoked: map[string]time.Time{}}
@@ -52,18 +49,41 @@
 // publish stores the configuration; the caller holds the lock.
 func (o *operator) publish() error {
 	o.version++
-	var text bytes.Buffer
-	err := catalogueTemplate.Execute(&text, map[string]any{
-		"Version": o.version, "Keys": o.keys, "Added": o.added, "Host": hostName, "Service": serviceName,
-		"Organisation": organisationName, "Attempts": maxAttempts,
-	})
+	spec, err := platform.EncodeCatalogue(persimcatalog.New(int64(o.version), o.routes(),
+		[]persimcatalog.Service{{Name: serviceName, MaxConnections: 500}},
+		[]persimcatalog.Organisation{{Name: organisationName, Keys: o.keys}}, limits()))
 	if err != nil {
 		return err
 	}
-	o.store.Put(platform.ConfigKind, platform.ConfigName, text.Bytes())
+	o.store.Put(platform.ConfigKind, platform.ConfigName, spec)
 	return nil
 }
 
+func limits() persimcatalog.Limits {
+	return persimcatalog.Limits{
+		HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
+	}
+}
+
+// routes are the routes in force.
+func (o *operator) routes() []persimcatalog.Route {
+	route := func(prefix string, kind persimcatalog.Kind, attempts int) persimcatalog.Route {
+		return persimcatalog.Route{
+			Name: prefix, Host: hostName, Prefix: prefix, Kind: kind, Timeout: patience, Target: target, GapTarget: target,
+			Splits: []persimcatalog.Split{{Service: serviceName, Weight: 1}}, MaxAttempts: attempts,
+		}
+	}
+	list := []persimcatalog.Route{
+		route(readPath, persimcatalog.KindIdempotent, maxAttempts),
+		route(orderPath, persimcatalog.KindNonIdempotent, maxAttempts),
+		route(persimstand.StreamPath, persimcatalog.KindStreaming, 1),
+	}
+	if o.added {
+		list = append(list, route(addedPath, persimcatalog.KindIdempotent, maxAttempts))
+	}
+	return list
+}
+
 func (o *operator) start() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/persimsoak/upstream.go
+++ b/persimsoak/upstream.go
@@ -1,27 +1,17 @@
 package persimsoak
 
 import (
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimstand"
 	"persimmonport.example/platform"
 )
 
-const (
-	upstreamSlots = 16
-	workTime      = 15 * time.Millisecond
-	streamEvents  = 12
-	streamGap     = 25 * time.Millisecond
-	headerTimeout = 5 * time.Second
-)
+const headerTimeout = 5 * time.Second
 
 // A run is one time that an upstream began to work on a request.
 type run struct {
@@ -50,14 +40,11 @@
 	return append([]run(nil), r.by[id]...)
 }
 
-// An upstream is a back end that records what it runs.
+// An upstream is a back end behind a proxy that records what it runs.
 type upstream struct {
-	id     string
-	runs   *runs
-	proxy  *proxy
-	server *http.Server
-	slots  chan struct{}
-	done   []func()
+	id    string
+	proxy *proxy
+	done  []func()
 }
 
 func newUpstream(id string, recorded *runs) (*upstream, error) {
@@ -65,13 +52,16 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: id, runs: recorded, slots: make(chan struct{}, upstreamSlots)}
-	u.server = &http.Server{Handler: u, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = u.server.Serve(listener) }()
+	back := persimstand.NewUpstream(id, func(request string, r *http.Request) {
+		recorded.add(request, run{
+			at: time.Now(), upstream: id, path: r.URL.Path,
+			organisation: r.Header.Get(platform.HeaderOrganisation), key: r.Header.Get(platform.HeaderKey),
+		})
+	})
+	server := &http.Server{Handler: back, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
 	proxy, closeProxy, err := newProxy(listener.Addr().String())
-	u.proxy = proxy
-	u.done = []func(){closeProxy, func() { _ = u.server.Close() }}
-	return u, err
+	return &upstream{id: id, proxy: proxy, done: []func(){closeProxy, func() { _ = server.Close() }}}, err
 }
 
 func (u *upstream) close() {
@@ -86,72 +76,7 @@
 		Address:     u.proxy.address(),
 		Service:     serviceName,
 		Centre:      centreName,
-		Slots:       upstreamSlots,
+		Slots:       persimstand.UpstreamSlots,
 		Leaving:     leaving,
 	}
 }
-
-// signature is what an upstream writes under its answer to a request.
-func signature(upstream, id string) string { return upstream + "." + id }
-
-// answerTo is the whole answer of an upstream to a request that is no stream.
-func answerTo(path string, body []byte) string {
-	return fmt.Sprintf("%s %016x", path, xxhash.Sum64(body))
-}
-
-// event is one event of a stream.
-func event(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number)
-}
-
-func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(platform.HeaderRequestID)
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	w.Header().Set(platform.HeaderRequestID, id)
-	if target := r.Header.Get(platform.HeaderUpstream); target != "" && target != u.id {
-		u.refuse(w, http.StatusMisdirectedRequest)
-		return
-	}
-	select {
-	case u.slots <- struct{}{}:
-		defer func() { <-u.slots }()
-	default:
-		u.refuse(w, http.StatusServiceUnavailable)
-		return
-	}
-	u.runs.add(id, run{
-		at: time.Now(), upstream: u.id, path: r.URL.Path,
-		organisation: r.Header.Get(platform.HeaderOrganisation), key: r.Header.Get(platform.HeaderKey),
-	})
-	w.Header().Set(platform.HeaderSignature, signature(u.id, id))
-	if strings.HasPrefix(r.URL.Path, streamPath) {
-		u.stream(w, r, id)
-		return
-	}
-	time.Sleep(workTime)
-	_, _ = io.WriteString(w, answerTo(r.URL.Path, body))
-}
-
-func (u *upstream) refuse(w http.ResponseWriter, status int) {
-	w.Header().Set(platform.HeaderNotRun, "1")
-	w.WriteHeader(status)
-}
-
-func (u *upstream) stream(w http.ResponseWriter, r *http.Request, id string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	for number := 1; number <= streamEvents; number++ {
-		if _, err := io.WriteString(w, event(id, number)); err != nil {
-			return
-		}
-		_ = control.Flush()
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(streamGap):
-		}
-	}
-}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -107,6 +107,33 @@
   grep -q 'whole=true' "$work/reclaim.out"
 }
 
+# entry_on_platform starts an entry host of the platform with two upstreams.
+entry_on_platform() {
+  local store=127.0.0.1:$base
+  for i in 1 2; do
+    start "upstream-$i" "$bin/persimstand" upstream --platform "$store" --listen "127.0.0.1:$((base + 50 + i))" --id "up-$i"
+  done
+  "$bin/persimstand" configure --platform "$store" --key demo-key || return 1
+  "$bin/persimstand" settings --platform "$store" --name platform-entry --ip 127.0.0.1 --port $((base + 60)) > "$work/platform.json" || return 1
+  "$bin/persimmonport" check --platform "$work/platform.json" || return 1
+  start platform-entry "$bin/persimmonport" entry --settings "$work/platform.json"
+  until_ok 10 curl -sf "http://127.0.0.1:$((base + 61))/ready"
+}
+
+plain() { # PATH ARGUMENTS...
+  local path=$1
+  shift
+  curl -sf -H 'Host: demo.example' -H 'X-Api-Key: demo-key' -H "X-Request-Id: demo-$RANDOM" "$@" "http://127.0.0.1:$((base + 60))$path"
+}
+
+plain_requests() {
+  plain /read/prism | grep -q '^/read/prism ' || return 1
+  plain /order/arm-7 -d 'one arm' | grep -q '^/order/arm-7 ' || return 1
+  [ "$(plain /stream/drop -d '' | grep -c '^data:')" = 12 ] || return 1
+  [ "$(plain /other/ -o /dev/null -w '%{http_code}')" = 404 ] || return 1
+  echo "a read, an order and a stream of 12 events"
+}
+
 start_deployment
 step "three entry hosts in three data centres know each other" until_ok 15 hosts_know_each_other
 step "profiles and services are stored" profiles
@@ -118,6 +145,8 @@
 step "a profile change is in force on every host" change_profile
 step "an entry host is drained during a stream" drain_during_stream
 step "an engine is reclaimed during a stream" reclaim_during_stream
+step "an entry host on the platform is ready" entry_on_platform
+step "plain HTTP requests are answered through it" plain_requests
 if [ "$failed" -gt 0 ] && [ -n "${DEMO_LOGS:-}" ]; then tail -n 30 "$work"/*.log; fi
 echo "demo: $ok ok, $failed failed"
 [ "$failed" = 0 ]
