Split the quotas by subject; tell when a host's turn comes

Retry-After for an organisation over its quota counts the host's turn where there are many hosts; before, it was the shortest wait while the level had room.

--- a/persimquota/quota.go
+++ b/persimquota/quota.go
@@ -14,32 +14,10 @@
 )
 
 const (
-	// DefaultSilence is the time after which a host counts as out of reach; ten
-	// hosts hear each other several times a second, seventy in 1.5 s.
-	DefaultSilence = 1200 * time.Millisecond
-	// silencePerHost is added for each host.
-	silencePerHost = 30 * time.Millisecond
-	// rateWindow is the time over which the rate of another host is averaged.
-	rateWindow = 2 * time.Second
 	// firstLevel is the part of a burst that is there at the start, since an earlier
 	// process may just have used the rest. Hosts that start together part it.
 	firstLevel = 0.5
 	minWait    = 50 * time.Millisecond
-	// ownShare is the part of a low level that one host uses before it hears from
-	// the others again, which see the same level.
-	ownShare = 0.34
-	// fewHosts is the number of hosts up to which each has the same slack and the
-	// same share.
-	fewHosts = 9
-	// sharesOfMany is how often many hosts together use a low level before they hear
-	// of each other again.
-	sharesOfMany = 2
-	// ampleFactor is by how much more of an ample level one of many hosts uses.
-	ampleFactor = 4
-	// turnTime is the time for which a host saves its part of the rate.
-	turnTime = 3 * time.Second
-	// ample is the part of a burst above which a host uses the level as it likes.
-	ample = 0.5
 )
 
 type config struct {
@@ -84,16 +62,6 @@
 	// turn is what this host may still take of a low level, as one of many.
 	turn float64
 }
-
-type peer struct {
-	incarnation string
-	heard       time.Time
-	admitted    map[string]float64
-	rates       map[string]float64
-	// presumed is what was set aside since the host was last heard.
-	presumed map[string]float64
-}
-
 type quotas struct {
 	config
 	at       time.Time
@@ -145,7 +113,6 @@
 	a.level -= part
 	p.presumed[name] += part
 }
-
 func (q *quotas) SetHosts(now time.Time, hosts []string) {
 	q.refill(now)
 	next := map[string]*peer{}
@@ -162,16 +129,6 @@
 	q.peers = next
 }
 
-func newPeer(incarnation string, now time.Time) *peer {
-	return &peer{
-		incarnation: incarnation,
-		heard:       now,
-		admitted:    map[string]float64{},
-		rates:       map[string]float64{},
-		presumed:    map[string]float64{},
-	}
-}
-
 // refill adds what the rates give and sets aside what silent hosts may use.
 func (q *quotas) refill(now time.Time) {
 	elapsed := now.Sub(q.at).Seconds()
@@ -191,32 +148,6 @@
 		a.turn = min(a.turn+q.part(a)*elapsed, q.longestTurn(a))
 	}
 }
-
-// part is this host's equal part of an organisation's rate.
-func (q *quotas) part(a *account) float64 { return a.quota.PerSecond / float64(len(q.peers)+1) }
-
-// longestTurn is the most that a host may save of its part of the rate.
-func (q *quotas) longestTurn(a *account) float64 { return q.part(a) * turnTime.Seconds() }
-
-// presumption is the rate that another host is taken to use just now.
-func (q *quotas) presumption(p *peer, organisation string, a *account, now time.Time) float64 {
-	if p.incarnation == "" || now.Sub(p.heard) > q.longestSilence() {
-		return q.part(a)
-	}
-	if q.many() && a.level < a.quota.Burst*ample {
-		return max(p.rates[organisation], q.part(a))
-	}
-	return p.rates[organisation]
-}
-
-// many reports whether there are so many hosts that those which see the same low
-// level must part it.
-func (q *quotas) many() bool { return len(q.peers)+1 > fewHosts }
-
-func (q *quotas) longestSilence() time.Duration {
-	return q.silence + time.Duration(len(q.peers))*silencePerHost
-}
-
 func (q *quotas) Admit(now time.Time, organisation string, cost float64) (time.Duration, bool) {
 	a, ok := q.accounts[organisation]
 	if !ok || a.quota.PerSecond <= 0 {
@@ -224,9 +155,7 @@
 	}
 	q.refill(now)
 	if !q.covered(now, a, cost) {
-		missing := min(cost-q.slack(), a.quota.Burst) - a.level
-		wait := time.Duration(missing / a.quota.PerSecond * float64(time.Second))
-		return max(wait, minWait), false
+		return q.wait(a, cost), false
 	}
 	a.level -= cost
 	a.admitted += cost
@@ -235,47 +164,13 @@
 	return 0, true
 }
 
-// covered reports whether the level has room for a cost.
-func (q *quotas) covered(now time.Time, a *account, cost float64) bool {
-	if a.level >= a.quota.Burst {
-		return true
-	}
-	if a.level-cost < -q.slack() {
-		return false
-	}
-	if !q.many() && a.level-cost > a.quota.Burst*ample {
-		return true
-	}
-	usable := (a.level + a.unheard + q.slack()) * q.share(now)
-	if a.level-cost > a.quota.Burst*ample {
-		usable *= ampleFactor
-	}
-	if a.unheard+cost <= usable {
-		return true
-	}
-	return a.unheard == 0 && (!q.many() || a.turn >= min(cost, q.longestTurn(a)))
-}
-
-// slack is how far this host may go beyond the level: each other one may do the same
-// before they hear of each other.
-func (q *quotas) slack() float64 {
-	return q.overdraft / float64(max(len(q.peers)+1, fewHosts))
-}
-
-// share is the part of the level that this host may use unheard. What is left for
-// silent hosts was set aside already.
-func (q *quotas) share(now time.Time) float64 {
-	reached := 1
-	for _, p := range q.peers {
-		if now.Sub(p.heard) <= q.longestSilence() {
-			reached++
-		}
-	}
-	own := ownShare
+// wait is the time after which the level, and this host's turn, have room for a cost.
+func (q *quotas) wait(a *account, cost float64) time.Duration {
+	missing := (min(cost-q.slack(), a.quota.Burst) - a.level) / a.quota.PerSecond
 	if q.many() {
-		own = sharesOfMany / float64(len(q.peers)+1)
+		missing = max(missing, (min(cost, q.longestTurn(a))-a.turn)/q.part(a))
 	}
-	return max(own, 1/float64(reached))
+	return max(time.Duration(missing*float64(time.Second)), minWait)
 }
 
 func (q *quotas) Refund(organisation string, cost float64) {
@@ -284,47 +179,6 @@
 		a.admitted -= cost
 	}
 }
-
-func (q *quotas) Observe(now, at time.Time, host, incarnation string, admitted map[string]float64) {
-	p, ok := q.peers[host]
-	if !ok || p.incarnation == incarnation && !at.After(p.heard) {
-		return
-	}
-	q.refill(now)
-	if p.incarnation != incarnation {
-		p = q.replace(at, host, incarnation, admitted)
-	}
-	elapsed := at.Sub(p.heard).Seconds()
-	p.heard = at
-	for name, a := range q.accounts {
-		used := admitted[name] - p.admitted[name]
-		if elapsed > 0 {
-			weight := min(1, elapsed/rateWindow.Seconds())
-			p.rates[name] += (max(0, used)/elapsed - p.rates[name]) * weight
-		}
-		since := p.rates[name] * now.Sub(at).Seconds()
-		a.level += p.presumed[name] - used - since
-		p.presumed[name] = since
-		a.unheard -= a.unheard / float64(len(q.peers))
-	}
-	p.admitted = admitted
-}
-
-// replace takes a new start of a host. Of what a host admitted before it was first
-// heard, no more counts than was set aside for it: the rest is over.
-func (q *quotas) replace(at time.Time, host, incarnation string, admitted map[string]float64) *peer {
-	former := q.peers[host]
-	p := newPeer(incarnation, at)
-	p.presumed = former.presumed
-	if former.incarnation == "" {
-		for name, sum := range admitted {
-			p.admitted[name] = sum - min(sum, p.presumed[name])
-		}
-	}
-	q.peers[host] = p
-	return p
-}
-
 func (q *quotas) Admitted() map[string]float64 {
 	sums := make(map[string]float64, len(q.accounts))
 	for name, a := range q.accounts {
