Split placement from loads; remove what nothing reads

Usage.Sources had no caller but one assertion of its own test, which goes with it (the sums of that test still tell the two sources apart). Settings that no code reads (control address, descriptors, heartbeat, time to pass an event) are not decoded.

--- a/cmd/persimstand/deployment.go
+++ b/cmd/persimstand/deployment.go
@@ -106,7 +106,7 @@
 			}
 			settings, err := platform.EncodeSettings(persimsettings.Deployment{
 				Host: cmd.String("name"), IP: cmd.String("ip"), Centre: "catania",
-				Callers: at(0), Ready: at(1), Control: at(2), PeerPort: cmd.Int("port") + 3,
+				Callers: at(0), Ready: at(1), PeerPort: cmd.Int("port") + 3,
 				Store: cmd.String("platform"), Duties: cmd.String("platform"), ReportsUsage: true,
 				Bounds: exampleBounds(),
 			})
--- a/persimduty/usage.go
+++ b/persimduty/usage.go
@@ -25,8 +25,6 @@
 	Window(at time.Time) int64
 	// Sum returns the counts of a window over all hosts.
 	Sum(window int64) Counts
-	// Sources returns the hosts' incarnations that told of a window.
-	Sources(window int64) int
 }
 
 type usage struct {
@@ -86,13 +84,3 @@
 		sum[organisation] += count
 	}
 }
-
-func (u *usage) Sources(window int64) int {
-	told := 0
-	for _, windows := range u.sources {
-		if _, ok := windows[window]; ok {
-			told++
-		}
-	}
-	return told
-}
--- a/persimduty/usage_test.go
+++ b/persimduty/usage_test.go
@@ -19,7 +19,6 @@
 	require.EqualValues(t, 200, u.Window(at))
 	require.Equal(t, Counts{"o": 7, "p": 1}, u.Sum(200))
 	require.Equal(t, Counts{"o": 1}, u.Sum(201))
-	require.Equal(t, 2, u.Sources(200))
 }
 
 func TestUsageForgets(t *testing.T) {
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -38,10 +38,6 @@
 	plainService = 70 * time.Millisecond
 	// presumed is the part of a shared beginning that its home is taken to hold.
 	presumed = 0.8
-	// loadFresh is how long a report of the load counts.
-	loadFresh = 700 * time.Millisecond
-	// peerFresh is how long what another host said of its requests counts.
-	peerFresh = 1500 * time.Millisecond
 	// failuresToPause is the number of failures in a row that make an upstream avoided.
 	failuresToPause = 3
 	// silenceToPause is how long past the expected first answer an upstream that
@@ -94,34 +90,6 @@
 	Running int
 }
 
-// A Report is what an upstream said of its load.
-type Report struct {
-	Running  int
-	Waiting  int
-	Slots    int
-	Slowdown float64
-}
-
-// A TimedReport is a report with the time at which it was made.
-type TimedReport struct {
-	Report
-	At time.Time
-}
-
-// A PeerLoad is what another host has in an upstream.
-type PeerLoad struct {
-	Requests int
-	Urgent   int
-	Normal   int
-}
-
-func (l PeerLoad) plus(other PeerLoad) PeerLoad {
-	l.Requests += other.Requests
-	l.Urgent += other.Urgent
-	l.Normal += other.Normal
-	return l
-}
-
 // Outcome says how an attempt ended.
 type Outcome int
 
@@ -181,14 +149,6 @@
 	Count() (usable, all int)
 }
 
-// Hash returns the number that names an upstream between hosts.
-func Hash(id string) uint64 { return xxhash.Sum64String(id) }
-
-type peerState struct {
-	at    time.Time
-	loads map[uint64]PeerLoad
-}
-
 type placer struct {
 	config
 	memory int
@@ -326,21 +286,6 @@
 	return choice
 }
 
-// load is what all hosts have in an upstream, as far as this one knows.
-func (p *placer) load(now time.Time, s *state) PeerLoad {
-	sum := s.own
-	for _, peer := range p.peers {
-		if now.Sub(peer.at) > peerFresh {
-			continue
-		}
-		sum = sum.plus(peer.loads[s.hash])
-	}
-	if now.Sub(s.reportedAt) < loadFresh {
-		sum.Requests = max(sum.Requests, s.report.Running+s.report.Waiting)
-	}
-	return sum
-}
-
 func (p *placer) Send(now time.Time, need Need, choice Choice) *Ticket {
 	s, ok := p.states[choice.Upstream.ID]
 	if !ok {
@@ -375,53 +320,3 @@
 	t.upstream.end(t)
 	t.upstream.judge(now, outcome, p.pause)
 }
-
-func (p *placer) Report(at time.Time, upstream uint64, report Report) {
-	if s, ok := p.hashes[upstream]; ok && at.After(s.reportedAt) {
-		s.report = report
-		s.reportedAt = at
-	}
-}
-
-func (p *placer) Reports(now time.Time) map[uint64]TimedReport {
-	reports := map[uint64]TimedReport{}
-	for _, s := range p.order {
-		if now.Sub(s.reportedAt) < loadFresh {
-			reports[s.hash] = TimedReport{Report: s.report, At: s.reportedAt}
-		}
-	}
-	return reports
-}
-
-func (p *placer) Peer(now time.Time, host string, loads map[uint64]PeerLoad) {
-	if loads == nil {
-		delete(p.peers, host)
-		return
-	}
-	p.peers[host] = peerState{at: now, loads: loads}
-}
-
-func (p *placer) Loads() map[uint64]PeerLoad {
-	loads := map[uint64]PeerLoad{}
-	for _, s := range p.order {
-		if s.own.Requests > 0 {
-			loads[s.hash] = s.own
-		}
-	}
-	return loads
-}
-
-func (p *placer) Others(now time.Time, but ...string) map[uint64]PeerLoad {
-	sum := p.Loads()
-	for host, peer := range p.peers {
-		if slices.Contains(but, host) || now.Sub(peer.at) > peerFresh {
-			continue
-		}
-		for hash, load := range peer.loads {
-			if _, ok := p.hashes[hash]; ok {
-				sum[hash] = sum[hash].plus(load)
-			}
-		}
-	}
-	return sum
-}
--- a/persimsettings/deployment.go
+++ b/persimsettings/deployment.go
@@ -7,24 +7,21 @@
 	Host   string
 	IP     string
 	Centre string
-	// Callers, Ready, Control and Peers are addresses to listen on.
+	// Callers, Ready and Peers are addresses to listen on.
 	Callers string
 	Ready   string
-	Control string
 	Peers   string
 	// PeerPort is the port of all hosts for exchanges between them.
 	PeerPort int
 	// Store and Duties are addresses of the platform.
 	Store  string
 	Duties string
-	// Heartbeat is the interval at which upstreams renew their entries.
-	Heartbeat time.Duration
 	// ReportsUsage and OrdersUpstreams say which duties are wanted.
 	ReportsUsage    bool
 	OrdersUpstreams bool
-	MemoryBytes     int64
-	Descriptors     int
-	Bounds          Bounds
+	// MemoryBytes is the memory that the host may use.
+	MemoryBytes int64
+	Bounds      Bounds
 }
 
 // Bounds are the times and shares to which the platform holds a host.
@@ -54,6 +51,4 @@
 	QuotaWindow    time.Duration
 	QuotaOvershoot float64
 	QuotaSlack     float64
-	// Pass is the time within which an event is passed on.
-	Pass time.Duration
 }
--- a/persimsoak/host.go
+++ b/persimsoak/host.go
@@ -21,7 +21,6 @@
 	listenLimit   = 2 * time.Second
 	callersPort   = 8360
 	readyPort     = 8365
-	controlPort   = 8367
 	peersPort     = 7500
 )
 
@@ -78,16 +77,16 @@
 		Grace: 8 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second, Revoke: 5 * time.Second,
 		Lease: 3 * time.Second, Contact: 4 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, QuotaWindow: 8 * time.Second,
-		QuotaOvershoot: 0.1, QuotaSlack: 1000, Pass: 200 * time.Millisecond,
+		QuotaOvershoot: 0.1, QuotaSlack: 1000,
 	}
 }
 
 func (h *host) deployment() persimsettings.Deployment {
 	at := func(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 	return persimsettings.Deployment{
-		Host: h.name, IP: h.ip, Centre: centreName, Callers: h.callers, Ready: at(readyPort), Control: at(controlPort),
+		Host: h.name, IP: h.ip, Centre: centreName, Callers: h.callers, Ready: at(readyPort),
 		PeerPort: peersPort, Store: h.link.address(), Duties: h.link.address(),
-		Heartbeat: heartbeat, ReportsUsage: true, OrdersUpstreams: true, Bounds: bounds(),
+		ReportsUsage: true, OrdersUpstreams: true, Bounds: bounds(),
 	}
 }
 
