--- a/persimquota/peer.go
+++ b/persimquota/peer.go
@@ -41,9 +41,11 @@
 	}
 	return p.rates[organisation]
 }
+
 func (q *quotas) longestSilence() time.Duration {
 	return q.silence + time.Duration(len(q.peers))*silencePerHost
 }
+
 func (q *quotas) Observe(now, at time.Time, host, incarnation string, admitted map[string]float64) {
 	p, ok := q.peers[host]
 	if !ok || p.incarnation == incarnation && !at.After(p.heard) {
--- a/persimquota/quota.go
+++ b/persimquota/quota.go
@@ -113,6 +113,7 @@
 	a.level -= part
 	p.presumed[name] += part
 }
+
 func (q *quotas) SetHosts(now time.Time, hosts []string) {
 	q.refill(now)
 	next := map[string]*peer{}
@@ -148,6 +149,7 @@
 		a.turn = min(a.turn+q.part(a)*elapsed, q.longestTurn(a))
 	}
 }
+
 func (q *quotas) Admit(now time.Time, organisation string, cost float64) (time.Duration, bool) {
 	a, ok := q.accounts[organisation]
 	if !ok || a.quota.PerSecond <= 0 {
@@ -179,6 +181,7 @@
 		a.admitted -= cost
 	}
 }
+
 func (q *quotas) Admitted() map[string]float64 {
 	sums := make(map[string]float64, len(q.accounts))
 	for name, a := range q.accounts {
--- a/persimsoak/proxy.go
+++ b/persimsoak/proxy.go
@@ -1,6 +1,7 @@
 package persimsoak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -155,7 +156,7 @@
 }
 
 func closeWrite(conn net.Conn, err error) {
-	if tcp, ok := conn.(*net.TCPConn); ok && err == io.EOF {
+	if tcp, ok := conn.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 		_ = tcp.CloseWrite()
 		return
 	}
