--- a/persimsoak/host.go
+++ b/persimsoak/host.go
@@ -53,9 +53,9 @@
 	stops    []span
 }
 
-func newHost(index int, program, folder string, store *persimstand.Store, ended func(string)) (*host, error) {
+func newHost(index int, ip, program, folder string, store *persimstand.Store, ended func(string)) (*host, error) {
 	h := &host{
-		name: fmt.Sprintf("host-%d", index), ip: fmt.Sprintf("127.0.2.%d", index+1),
+		name: fmt.Sprintf("host-%d", index), ip: ip,
 		program: program, folder: folder, store: store, ended: ended,
 	}
 	h.callers = fmt.Sprintf("%s:%d", h.ip, callersPort)
--- a/persimsoak/system.go
+++ b/persimsoak/system.go
@@ -53,8 +53,13 @@
 	s.operator = newOperator(s.store)
 	s.upstreams = newUpstreams(s.store)
 	s.judge = newJudge(s)
+	claimed, release, err := claimNetwork()
+	if err != nil {
+		return Report{}, err
+	}
+	defer release()
 	defer s.close()
-	if err := s.start(program, folder); err != nil {
+	if err := s.start(claimed, program, folder); err != nil {
 		return Report{}, err
 	}
 	stop := make(chan struct{})
@@ -79,7 +84,7 @@
 	return s.judge.finish(), nil
 }
 
-func (s *system) start(program, folder string) error {
+func (s *system) start(claimed network, program, folder string) error {
 	if err := s.operator.start(); err != nil {
 		return err
 	}
@@ -89,7 +94,7 @@
 		}
 	}
 	for i := range s.plan.Hosts {
-		h, err := newHost(i, program, folder, s.store, s.judge.exited)
+		h, err := newHost(i, claimed.address(i), program, folder, s.store, s.judge.exited)
 		if err != nil {
 			return err
 		}
