Pardon no lost request while a host stops as planned

Removing the mechanism (connections closed at once) is still not shown by the soak: too few requests are undisturbed around a stop.

--- a/persimsoak/judge.go
+++ b/persimsoak/judge.go
@@ -167,7 +167,8 @@
 
 // checkLost checks that a host ends no connection on a request that it passed on.
 func (j *judge) checkLost(o outcome, runs []run) {
-	if o.whole || o.gaveUp || len(runs) == 0 || !j.system.hosts[o.host].undisturbed(o.sent, o.ended, false) {
+	h := j.system.hosts[o.host]
+	if o.whole || o.gaveUp || len(runs) == 0 || !h.undisturbed(o.sent, o.ended, false) {
 		return
 	}
 	for _, r := range runs {
@@ -175,7 +176,12 @@
 			return
 		}
 	}
-	j.counts("requests are not lost", "%s on %s got status %d and no end", o.id, j.system.hosts[o.host].name, o.status)
+	record := j.counts
+	if !h.undisturbed(o.sent, o.ended, true) {
+		// While a host stops as planned, none is pardoned.
+		record = j.breaks
+	}
+	record("requests are not lost", "%s on %s got status %d and no end", o.id, h.name, o.status)
 }
 
 // awaitRecovery waits until requests are served again after the last trouble.
