Log whether the host or the caller ended a request's connection

Now responses and refusals are flushed before they are recorded, a connection that the host's own timer closed is named in the cause, and the line on an applied configuration says which idle timeout it sets.

No logic changes.

--- a/persimentry/snapshots.go
+++ b/persimentry/snapshots.go
@@ -68,7 +68,7 @@
 	e.rawCatalogue = rawCatalogue{version: catalogue.Version(), spec: bytes.Clone(spec)}
 	e.front.SetCatalogue(catalogue)
 	e.front.ConfirmCatalogue(confirmedAt)
-	klog.InfoS("configuration applied", "version", catalogue.Version(), "source", source)
+	klog.InfoS("configuration applied", "version", catalogue.Version(), "source", source, "idleTimeout", catalogue.Limits().IdleTimeout)
 	return nil
 }
 
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -277,6 +277,11 @@
 	}
 	header.Set("Content-Length", "0")
 	w.WriteHeader(r.status)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		klog.InfoS("refusal not sent", "request", c.id, "status", r.status, "cause", r.cause, "error", persimlog.ErrorText(err))
+		c.record(0, c.leftCause())
+		return
+	}
 	c.record(r.status, r.cause)
 }
 
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -42,13 +42,15 @@
 	body   []byte
 }
 
-func (r *bufferedResponse) write(w http.ResponseWriter) {
+// write sends the response to the caller. It returns an error if it could not be sent.
+func (r *bufferedResponse) write(w http.ResponseWriter) error {
 	copyHeader(w.Header(), r.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	w.WriteHeader(r.status)
 	if _, err := w.Write(r.body); err != nil {
-		klog.V(1).InfoS("answer: caller does not take it", "error", persimlog.ErrorText(err))
+		return err
 	}
+	return http.NewResponseController(w).Flush()
 }
 
 // copyHeader copies the header fields that are forwarded to the caller and keeps the
@@ -106,11 +108,21 @@
 		return resultErrorResponse, response, "upstream failed"
 	}
 	a.finish(persimplace.OutcomeSuccess)
-	response.write(w)
-	a.record(response.status, outcomeOK)
+	a.send(w, response, outcomeOK)
 	return resultDone, nil, ""
 }
 
+// send sends a buffered response to the caller and records its status, or 0 if the caller
+// did not get it.
+func (c *call) send(w http.ResponseWriter, response *bufferedResponse, cause string) {
+	if err := response.write(w); err != nil {
+		klog.InfoS("response not sent", "request", c.id, "status", response.status, "error", persimlog.ErrorText(err))
+		c.record(0, c.leftCause())
+		return
+	}
+	c.record(response.status, cause)
+}
+
 // impliesNotRun reports whether a status tells the caller that the request did not
 // run.
 func impliesNotRun(status int) bool {
@@ -213,7 +225,7 @@
 func (a *attempt) abortCause(ctx context.Context, writer *eventWriter) string {
 	switch {
 	case writer.callerGone || a.request.Context().Err() != nil:
-		return "caller left"
+		return a.leftCause()
 	case ctx.Err() != nil:
 		return "time is over"
 	default:
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -94,11 +94,10 @@
 func (c *call) respondError(ctx context.Context, w http.ResponseWriter, errorResponse *bufferedResponse, mayHaveRun bool, cause string) {
 	switch {
 	case c.request.Context().Err() != nil:
-		c.record(0, "caller left")
+		c.record(0, c.leftCause())
 		panic(http.ErrAbortHandler)
 	case errorResponse != nil:
-		errorResponse.write(w)
-		c.record(errorResponse.status, "upstream failed")
+		c.send(w, errorResponse, "upstream failed")
 	case ctx.Err() != nil:
 		c.refuse(w, refusal{status: http.StatusGatewayTimeout, cause: "time is over: " + cause})
 	case mayHaveRun:
