--- a/persimfront/connections_test.go
+++ b/persimfront/connections_test.go
@@ -24,9 +24,7 @@
 	t.Helper()
 	upstream := newFakeUpstream(t, "w1", respondOK())
 	h := newHarness(t, upstream)
-	limits := persimcatalog.Limits{BodyBytes: 1 << 20, HeaderBytes: 2000, HeaderTimeout: testHeaderTimeout, IdleTimeout: testIdleTimeout}
-	h.front.SetCatalogue(persimcatalog.New(2, testRoutes(), []persimcatalog.Service{{Name: "s"}},
-		[]persimcatalog.Organisation{{Name: "org", Keys: []string{"key"}}}, limits))
+	h.setLimits(persimcatalog.Limits{BodyBytes: 1 << 20, HeaderBytes: 2000, HeaderTimeout: testHeaderTimeout, IdleTimeout: testIdleTimeout})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
--- a/persimfront/harness_test.go
+++ b/persimfront/harness_test.go
@@ -107,6 +107,8 @@
 	front   Front
 	address string
 	usage   usageCounter
+	// version is that of the current configuration.
+	version int64
 }
 
 type usageCounter struct {
@@ -142,8 +144,7 @@
 	t.Cleanup(closePool)
 	h := &harness{usage: usageCounter{byOrganisation: map[string]int{}}}
 	h.front = New(WithBounds(testBounds), WithPool(pool), WithCounter(&h.usage))
-	h.front.SetCatalogue(persimcatalog.New(1, testRoutes(), []persimcatalog.Service{{Name: "s"}},
-		[]persimcatalog.Organisation{{Name: "org", Keys: []string{"key"}}}, persimcatalog.Limits{BodyBytes: 1 << 20}))
+	h.setLimits(persimcatalog.Limits{BodyBytes: 1 << 20})
 	h.front.ConfirmCatalogue(persimclock.Now())
 	var upstreams []persimcatalog.Upstream
 	for _, upstream := range fakes {
@@ -159,6 +160,13 @@
 	return h
 }
 
+// setLimits applies a configuration with limits on connections.
+func (h *harness) setLimits(limits persimcatalog.Limits) {
+	h.version++
+	h.front.SetCatalogue(persimcatalog.New(h.version, testRoutes(), []persimcatalog.Service{{Name: "s"}},
+		[]persimcatalog.Organisation{{Name: "org", Keys: []string{"key"}}}, limits))
+}
+
 func (h *harness) dial(t *testing.T) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp4", h.address)
