A host closes a connection of a caller only while no request is on its way on it

Cause: the timer for idle connections closed its connection whatever had happened since it was started. A request that arrived between the decision and the close was forwarded, ran, and could not be answered. With one idle timeout no caller sends that late; when a configuration raises it, callers rely on the new one at once, while the timers of idle connections still had the old one. Besides, a header that began before the idle timeout and ended after it was cut, and the header timeout began only once the header was read.

Class: a decision on a shared state taken at one moment and carried out at a later one, without a check between.

Change: a connection of a caller has a state (idle, receiving, serving, closed) under one lock. The timer closes it only in the state and after the time that the current configuration sets, and not while unread bytes wait; after the decision no byte is passed on, so no request is served whose response can't be sent. The front wraps the listener for this, so Serve replaces ConfigureServer.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -118,8 +119,7 @@
 		ReadHeaderTimeout: entryHeaderTimeout,
 		MaxHeaderBytes:    entryMaxHeaderBytes,
 	}}
-	entry.ConfigureCallerServer(servers.callers)
-	if err := listenAndServe(deployment.CallerAddress, servers.callers); err != nil {
+	if err := listenAndServe(deployment.CallerAddress, servers.callers, entry.ServeCallers); err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
@@ -127,19 +127,20 @@
 	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: entryHeaderTimeout}
 	ready := &http.Server{Handler: entry.ReadyHandler(), ReadHeaderTimeout: entryHeaderTimeout}
 	servers.internal = []*http.Server{ready, metrics}
-	if err := listenAndServe(deployment.ReadyAddress, ready); err != nil {
+	if err := listenAndServe(deployment.ReadyAddress, ready, (*http.Server).Serve); err != nil {
 		return nil, err
 	}
-	return servers, listenAndServe(net.JoinHostPort(deployment.IP, strconv.Itoa(metricsPort)), metrics)
+	return servers, listenAndServe(net.JoinHostPort(deployment.IP, strconv.Itoa(metricsPort)), metrics, (*http.Server).Serve)
 }
 
-func listenAndServe(address string, server *http.Server) error {
+// listenAndServe listens on an address and lets serve handle its connections.
+func listenAndServe(address string, server *http.Server, serve func(*http.Server, net.Listener) error) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	go func() {
-		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		if err := serve(server, listener); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(nil, "listener ended", "address", address, "error", persimlog.ErrorText(err))
 		}
 	}()
--- a/persimconn/pool.go
+++ b/persimconn/pool.go
@@ -8,8 +8,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Defaults of a pool.
@@ -158,25 +156,7 @@
 // usable reports whether an idle connection is open, unexpired and without
 // unsolicited bytes.
 func (c *Conn) usable(now time.Time) bool {
-	if now.After(c.expires) || c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	control, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	var peeked [1]byte
-	err = control.Read(func(fd uintptr) bool {
-		_, _, errPeek := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errPeek == unix.EAGAIN
-		return true
-	})
-	return err == nil && empty
+	return !now.After(c.expires) && c.reader.Buffered() == 0 && !readable(c.Conn)
 }
 
 func (p *pool) CloseIdle(address string) {
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -50,8 +51,8 @@
 type Entry interface {
 	// Run runs the background loops until the context ends.
 	Run(ctx context.Context) error
-	// ConfigureCallerServer configures a server to handle the requests of callers.
-	ConfigureCallerServer(server *http.Server)
+	// ServeCallers lets a server serve callers on a listener until the listener is closed.
+	ServeCallers(server *http.Server, listener net.Listener) error
 	// ReadyHandler returns the handler for the load balancer's readiness probes.
 	ReadyHandler() http.Handler
 	// MetricsHandler returns the handler that serves the metrics.
@@ -149,7 +150,9 @@
 	c.usage.Count(at, organisation)
 }
 
-func (e *entry) ConfigureCallerServer(server *http.Server) { e.front.ConfigureServer(server) }
+func (e *entry) ServeCallers(server *http.Server, listener net.Listener) error {
+	return e.front.Serve(server, listener)
+}
 
 func (e *entry) MetricsHandler() http.Handler { return e.metrics.Handler() }
 
--- a/persimentry/entry_test.go
+++ b/persimentry/entry_test.go
@@ -31,10 +31,11 @@
 }
 
 type testHost struct {
-	name   string
-	entry  *entry
-	server *httptest.Server
-	stop   func()
+	name  string
+	entry *entry
+	// callers is the address for callers.
+	callers string
+	stop    func()
 }
 
 const catalogueFormat = `{"version":%d,"routes":[
@@ -101,10 +102,11 @@
 		defer close(done)
 		_ = e.Run(ctx)
 	}()
-	server := httptest.NewUnstartedServer(nil)
-	e.ConfigureCallerServer(server.Config)
-	server.Start()
-	h := &testHost{name: name, entry: e, server: server}
+	callers, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Minute}
+	go func() { _ = e.ServeCallers(server, callers) }()
+	h := &testHost{name: name, entry: e, callers: callers.Addr().String()}
 	var stopped atomic.Bool
 	h.stop = func() {
 		if stopped.Swap(true) {
@@ -113,7 +115,7 @@
 		cancel()
 		platformServer.CloseClientConnections()
 		<-done
-		h.server.Close()
+		_ = server.Close()
 		cleanup()
 		platformServer.Close()
 	}
@@ -132,7 +134,7 @@
 // get sends a request to a host and returns the status.
 func (d *testDeployment) get(h *testHost, path, key string) int {
 	d.t.Helper()
-	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	conn, err := net.Dial("tcp", h.callers)
 	require.NoError(d.t, err)
 	defer func() { _ = conn.Close() }()
 	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nX-Api-Key: %s\r\nConnection: close\r\n\r\n", path, key)
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -70,7 +70,6 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	f.headerReceived(r)
 	c := &call{front: f, id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(), request: r, requestTarget: r.RequestURI}
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -4,6 +4,7 @@
 package persimfront
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -56,9 +57,9 @@
 	// AssumeSpeeds takes over the speeds of engines that another host has learned, by
 	// service, where this host has not learned them.
 	AssumeSpeeds(demand map[string]Demand)
-	// ConfigureServer sets the server's handler and connection hooks, so that it serves
-	// callers within the limits of the current configuration.
-	ConfigureServer(server *http.Server)
+	// Serve lets a server serve callers on a listener, within the limits of the current
+	// configuration, until the listener is closed.
+	Serve(server *http.Server, listener net.Listener) error
 	// DisableKeepAlives adds "Connection: close" to the responses of all later requests.
 	DisableKeepAlives()
 	// InFlight returns the number of requests in progress.
@@ -125,9 +126,6 @@
 	inFlight           atomic.Int64
 	// heldBodyBytes is the size of all request bodies in memory.
 	heldBodyBytes atomic.Int64
-	// connTimeouts covers the connections of the servers that ConfigureServer was called
-	// with.
-	connTimeouts *connTimeouts
 
 	mu         sync.Mutex
 	dispatcher *dispatcher
@@ -140,9 +138,7 @@
 	for _, opt := range opts {
 		opt(&c)
 	}
-	f := &front{config: c, dispatcher: newDispatcher(c.bounds)}
-	f.connTimeouts = newConnTimeouts(f.limits)
-	return f
+	return &front{config: c, dispatcher: newDispatcher(c.bounds)}
 }
 
 func (f *front) SetCatalogue(catalogue persimcatalog.Catalogue) {
--- a/persimfront/lost_test.go
+++ b/persimfront/lost_test.go
@@ -37,8 +37,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
-	h.front.ConfigureServer(server)
-	go func() { _ = server.Serve(wrappingListener{listener, wrap}) }()
+	go func() { _ = h.front.Serve(server, wrappingListener{listener, wrap}) }()
 	t.Cleanup(func() { _ = server.Close() })
 	h.address = listener.Addr().String()
 	return h.dial(t), server
