A stop takes no request that it could not see through: 2.8 s in place of 3 s

Of a request that a host took just after the third second of its planned stop, a client may expect an answer although less than the rest of the grace period is left; with the timer, the signal and the way to the caller each some milliseconds late, the listener closed at 3.00 s or after, so such requests were taken and a long stream of them was cut. Load balancers send nothing new after two health checks a second apart, so 2.8 s leaves them 0.8 s.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -25,8 +25,9 @@
 	// metricsPort is the port of the metrics endpoint, as set in the deploy file.
 	metricsPort = 9464
 	// balancerLag is how long the load balancer may keep sending new connections after
-	// the host stops being ready: two health checks a second apart, plus one second.
-	balancerLag = 3 * time.Second
+	// the host stops being ready: two health checks a second apart, and some delay. Requests
+	// that come later than 3 s after the signal could not use the rest of the grace period.
+	balancerLag = 2800 * time.Millisecond
 	// exitMargin is the time reserved for the exit before the process is killed.
 	exitMargin = 700 * time.Millisecond
 	// abortTimeout is the part of exitMargin in which requests that are still in progress
