Log attempts that break off, with the prompt parts that others may share

One line for each attempt that breaks off says so now; breaks for which the caller or the deadline is the cause have none, and a caller that goes no longer counts as a failure of its upstream.

--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -75,7 +75,7 @@
 	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedBytes+1))
 	if err != nil {
 		exchange.Abandon()
-		a.finish(a.breakOutcome(ctx))
+		a.recordBreak(ctx, "response broke off", 0, err)
 		return resultUnknown, nil, "answer broke off"
 	}
 	if len(body) > maxBufferedBytes {
@@ -86,15 +86,6 @@
 	return a.deliver(w, buffered)
 }
 
-// breakOutcome returns the outcome of an attempt whose response broke off. It is the
-// upstream's failure unless the deadline has passed or the caller has gone.
-func (a *attempt) breakOutcome(ctx context.Context) persimplace.Outcome {
-	if ctx.Err() != nil {
-		return persimplace.OutcomeNeutral
-	}
-	return persimplace.OutcomeFailed
-}
-
 // deliver sends a buffered response to the caller. It returns a server error instead
 // of sending it, since the request may be retried, and drops a status that implies
 // that the request did not run, since it may have run.
@@ -180,9 +171,12 @@
 		status:  exchange.Response.StatusCode,
 	}
 	err := writer.copy(exchange)
-	for err != nil && ctx.Err() == nil && !writer.callerGone && a.route.Resumable {
+	for err != nil {
 		exchange.Abandon()
-		a.finish(persimplace.OutcomeFailed)
+		a.recordBreak(ctx, "stream broke off", writer.events, err)
+		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable {
+			break
+		}
 		resumed := a.resume(ctx, writer.lastID)
 		if resumed == nil {
 			break
@@ -198,8 +192,6 @@
 		a.record(writer.status, outcomeOK)
 		return resultDone, nil, ""
 	}
-	exchange.Abandon()
-	a.finish(a.breakOutcome(ctx))
 	if !writer.headerWritten && a.request.Context().Err() == nil {
 		return resultUnknown, nil, "stream broke off before its first event"
 	}
@@ -261,12 +253,14 @@
 	}
 	exchange, err := persimconn.Send(ctx, conn, req)
 	if err != nil {
+		a.recordBreak(ctx, "connection broke", 0, err)
 		return nil
 	}
 	header := exchange.Response.Header
 	if exchange.Response.StatusCode != http.StatusOK || header.Get(platform.HeaderSignature) == "" ||
 		header.Get(platform.HeaderRequestID) != a.id {
 		exchange.Abandon()
+		a.finish(persimplace.OutcomeFailed)
 		return nil
 	}
 	klog.InfoS("stream resumed", "request", a.id, "upstream", choice.Upstream.ID, "after", lastID)
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -323,16 +325,43 @@
 		a.finish(persimplace.OutcomeNeutral)
 		return resultUnknown, nil, "caller left"
 	}
-	a.finish(persimplace.OutcomeFailed)
 	a.countUsage()
 	cause := "connection broke"
 	if a.phase.Load() == phaseAbandoned {
 		cause = "upstream is silent"
 	}
-	klog.V(1).InfoS("attempt: no answer", "request", a.id, "upstream", a.upstream.ID, "cause", cause, "error", persimlog.ErrorText(err))
+	a.finish(persimplace.OutcomeFailed)
+	a.logBreak(cause, 0, err)
 	return resultUnknown, nil, cause
 }
 
+// recordBreak records that a response broke off. It is the upstream's failure unless the
+// deadline has passed or the caller has gone.
+func (a *attempt) recordBreak(ctx context.Context, cause string, events int, err error) {
+	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
+		a.finish(persimplace.OutcomeNeutral)
+		return
+	}
+	a.finish(persimplace.OutcomeFailed)
+	a.logBreak(cause, events, err)
+}
+
+// logBreak logs an attempt that broke off, with the prompt parts that other requests may
+// share and the number of events that had come.
+func (a *attempt) logBreak(cause string, events int, err error) {
+	klog.InfoS("attempt broke off", "request", a.id, "upstream", a.upstream.ID, "born", a.upstream.Born, "cause", cause,
+		"events", events, "parts", formatParts(a.placement.SharedParts()), "error", persimlog.ErrorText(err))
+}
+
+// formatParts returns the ids of prompt parts as callers send them.
+func formatParts(parts []persimplace.Part) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // handleResponse checks the response header and relays the response if it is valid.
 func (a *attempt) handleResponse(ctx context.Context, w http.ResponseWriter, exchange *persimconn.Exchange) (attemptResult, *bufferedResponse, string) {
 	response := exchange.Response
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -84,6 +84,9 @@
 	Exclude []string
 }
 
+// SharedParts returns the parts that other requests may share: all but the last.
+func (r Request) SharedParts() []Part { return r.Parts[:max(0, len(r.Parts)-1)] }
+
 // Choice is an upstream with the expected time to the first response byte.
 type Choice struct {
 	Upstream persimcatalog.Upstream
