A stream that ends inside an event, or before its first, has been broken off

What callers saw: where a response has neither a length nor chunks, it ends with its connection.

Cause: the end of the body always completed the stream, whatever bytes were left over. Now the rest of an event at the end of an event stream, or an unmarked end before any event, counts as a break: the stream is resumed where that is possible, answered with 502 if nothing was sent, and aborted otherwise. Bodies of other types with a marked end pass as before.

--- a/persimconn/exchange.go
+++ b/persimconn/exchange.go
@@ -87,8 +87,7 @@
 // the connection to its pool if it can serve another request, and closes it otherwise.
 func (e *Exchange) Finish() {
 	stopped := e.stopWatch()
-	if !stopped || e.earlyResponse || e.Response.Close || e.Response.ContentLength < 0 && !chunked(e.Response) ||
-		e.conn.reader.Buffered() > 0 {
+	if !stopped || e.earlyResponse || e.Response.Close || !e.Framed() || e.conn.reader.Buffered() > 0 {
 		_ = e.conn.Close()
 		return
 	}
@@ -124,6 +123,10 @@
 	return true
 }
 
+// Framed reports whether the response says where its body ends; otherwise the body ends
+// with the connection.
+func (e *Exchange) Framed() bool { return e.Response.ContentLength >= 0 || chunked(e.Response) }
+
 func chunked(response *http.Response) bool {
 	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
 }
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -170,6 +170,7 @@
 		header:  exchange.Response.Header,
 		status:  exchange.Response.StatusCode,
 	}
+	writer.source(exchange)
 	err := writer.copy(exchange)
 	for err != nil {
 		exchange.Abandon()
@@ -183,6 +184,7 @@
 		}
 		exchange = resumed
 		writer.resumed = true
+		writer.source(exchange)
 		err = writer.copy(exchange)
 	}
 	if err == nil {
@@ -284,11 +286,25 @@
 	firstAt, lastAt time.Time
 	// resumed is set once another upstream has continued the stream.
 	resumed bool
+	// framed is set if the upstream marks the end of the stream, which otherwise ends with
+	// its connection, eventsOnly if the stream consists of whole events.
+	framed     bool
+	eventsOnly bool
+}
+
+const eventStreamType = "text/event-stream"
+
+// source prepares the writer for the response of an upstream.
+func (e *eventWriter) source(exchange *persimconn.Exchange) {
+	e.framed = exchange.Framed()
+	e.eventsOnly = !e.framed || strings.HasPrefix(exchange.Response.Header.Get("Content-Type"), eventStreamType)
 }
 
 var (
-	errCallerGone   = errors.New("front: write to caller failed")
-	errEventTooLong = errors.New("front: event of upstream too long")
+	errCallerGone      = errors.New("front: write to caller failed")
+	errEventTooLong    = errors.New("front: event of upstream too long")
+	errEndsInsideEvent = errors.New("front: stream ends inside an event")
+	errEndsAtOnce      = errors.New("front: connection ends before the first event")
 )
 
 // copy writes events to the caller until the stream ends. It returns an error if the
@@ -308,9 +324,6 @@
 		if end := completeEvents(buffer[scanned:]); end > 0 {
 			complete = scanned + end
 		}
-		if errors.Is(err, io.EOF) {
-			complete = len(buffer)
-		}
 		if complete > 0 {
 			if errWrite := e.write(buffer[:complete]); errWrite != nil {
 				return errWrite
@@ -318,8 +331,7 @@
 			buffer = append(buffer[:0], buffer[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			e.writeHeader()
-			return nil
+			return e.end(buffer)
 		}
 		if err != nil {
 			return err
@@ -327,6 +339,18 @@
 	}
 }
 
+// end ends the stream after its last bytes, which belong to no complete event. It returns an
+// error if the stream was broken off.
+func (e *eventWriter) end(rest []byte) error {
+	if len(rest) > 0 && e.eventsOnly {
+		return errEndsInsideEvent
+	}
+	if !e.framed && e.events == 0 {
+		return errEndsAtOnce
+	}
+	return e.write(rest)
+}
+
 // The blank lines that end an event.
 const (
 	eventEnd        = "\n\n"
--- a/persimfront/stream_test.go
+++ b/persimfront/stream_test.go
@@ -163,3 +163,45 @@
 		require.Equal(t, want, completeEvents([]byte(data)), "%q", data)
 	}
 }
+
+// TestStreamThatEndsInsideAnEventIsBrokenOff guards against half an event, or none, that
+// reaches the caller as a complete stream because the upstream's connection just ended.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	unframed := signatureHeader + "Content-Type: text/event-stream\r\n\r\n"
+	tests := map[string]struct {
+		response string
+		status   int
+		complete bool
+		body     string
+	}{
+		"connection ends after an event":      {response: unframed + event(1) + event(2), status: http.StatusOK, complete: true, body: allEvents(2)},
+		"connection ends inside an event":     {response: unframed + event(1) + event(2)[:7], status: http.StatusOK, body: allEvents(1)},
+		"connection ends inside the first":    {response: unframed + event(1)[:7], status: http.StatusBadGateway, complete: true},
+		"connection ends before an event":     {response: unframed, status: http.StatusBadGateway, complete: true},
+		"length covers a part of an event":    {response: signatureHeader + "Content-Type: text/event-stream\r\nContent-Length: 5\r\n\r\n" + event(1)[:5], status: http.StatusBadGateway, complete: true},
+		"chunks end inside an event":          {response: streamHeader + chunk(event(1)) + chunk(event(2)[:7]) + "0\r\n\r\n", status: http.StatusOK, body: allEvents(1)},
+		"chunks that hold no event at all":    {response: streamHeader + "0\r\n\r\n", status: http.StatusOK, complete: true},
+		"chunks that split an event are fine": {response: streamHeader + chunk(event(1)[:7]) + chunk(event(1)[7:]) + "0\r\n\r\n", status: http.StatusOK, complete: true, body: allEvents(1)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newFakeUpstream(t, "w1", respondWith("200 OK", tt.response, false)))
+			resp, body, err := h.get(t, "POST", "/stream/", "Content-Length: 0\r\n")
+			require.NotNil(t, resp)
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Equal(t, tt.complete, err == nil)
+			require.Equal(t, tt.body, body)
+		})
+	}
+}
+
+func TestStreamThatEndsInsideAnEventIsResumed(t *testing.T) {
+	unframed := signatureHeader + "Content-Type: text/event-stream\r\n\r\n"
+	first := newFakeUpstream(t, "w1", respondWith("200 OK", unframed+event(1)+event(2)[:7], false))
+	second := newFakeUpstream(t, "w2", streamEvents(3, 3))
+	h := newHarness(t, first, second)
+	h.front.RecordReports(map[uint64]persimplace.TimedReport{hashOf("w2"): {Report: slowReport, At: reportTime()}})
+	_, body, err := h.get(t, "POST", "/resumed/", "Content-Length: 0\r\n")
+	require.NoError(t, err)
+	require.Equal(t, allEvents(3), body)
+}
