A request is not forwarded if its header timeout passed before it was handled

It could decide between the last byte of a header and the start of the handler; the request was then forwarded, ran, and its connection was closed.

Cause: the state "serving" was set by a hook of the server, which ignored that the connection was closed already. Now the handler sets it and drops the request if the host has decided to close the connection; the bytes dropped on a closing connection end it like a caller that leaves, where an error made the server write a status nobody gets.

Evidence: TestRequestWhoseHeaderEndsAtTheTimeoutIsNotForwarded failed before (one request ran) and passes now with the race detector.

--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -71,6 +71,9 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c := &call{front: f, id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(), request: r, requestTarget: r.RequestURI}
+	if !beginServing(r) {
+		c.abortResponse(c.leftCause())
+	}
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/persimfront/connections.go
+++ b/persimfront/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -130,7 +131,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.receive() {
 		klog.InfoS("bytes on a closing connection dropped", "caller", c.RemoteAddr().String(), "bytes", n, "cause", c.cause())
-		return 0, net.ErrClosed
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -178,22 +179,29 @@
 	if !ok {
 		return
 	}
-	switch state {
-	case http.StateActive:
-		c.setState(connServing)
-	case http.StateIdle:
+	if state == http.StateIdle {
 		c.setState(connIdle)
 	}
 }
 
+// beginServing records that a request is in progress on its connection. It returns false if
+// the host has decided to close the connection, so that a response could not be sent.
+func beginServing(r *http.Request) bool {
+	c, ok := r.Context().Value(connContextKey{}).(*callerConn)
+	return !ok || c.setState(connServing)
+}
+
 type connContextKey struct{}
 
+// withConn is the ConnContext hook of http.Server.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, conn)
+}
+
 func (f *front) Serve(server *http.Server, listener net.Listener) error {
 	server.Handler = f
 	server.ConnState = onConnState
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connContextKey{}, conn)
-	}
+	server.ConnContext = withConn
 	return server.Serve(callerListener{Listener: listener, limits: f.limits})
 }
 
--- a/persimfront/lost_test.go
+++ b/persimfront/lost_test.go
@@ -153,3 +153,42 @@
 		})
 	}
 }
+
+// TestRequestWhoseHeaderEndsAtTheTimeoutIsNotForwarded guards against a request that runs and
+// gets no answer because the header timeout passes just before the request is handled.
+func TestRequestWhoseHeaderEndsAtTheTimeoutIsNotForwarded(t *testing.T) {
+	upstream := newFakeUpstream(t, "w1", func(conn net.Conn, req *http.Request, body []byte) bool {
+		time.Sleep(100 * time.Millisecond)
+		return respondOK()(conn, req, body)
+	})
+	h := newHarness(t, upstream)
+	closing, proceed := make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	slowClose := wrappingListener{listener, func(conn net.Conn) net.Conn {
+		return &slowCloseConn{Conn: conn, beforeClose: func() {
+			close(closing)
+			<-proceed
+		}}
+	}}
+	late := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-closing
+		h.front.ServeHTTP(w, r)
+	})
+	server := &http.Server{Handler: late, ConnContext: withConn, ReadHeaderTimeout: time.Minute}
+	limits := persimcatalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: testHeaderTimeout}
+	go func() {
+		_ = server.Serve(callerListener{Listener: slowClose, limits: func() persimcatalog.Limits { return limits }})
+	}()
+	t.Cleanup(func() { _ = server.Close() })
+	h.address = listener.Addr().String()
+	caller := h.dial(t)
+	_, err = io.WriteString(caller, requestHead("GET", "/safe/")+"\r\n")
+	require.NoError(t, err)
+	<-closing
+	time.Sleep(50 * time.Millisecond)
+	close(proceed)
+	_, err = http.ReadResponse(bufio.NewReader(caller), nil)
+	require.Error(t, err)
+	require.Empty(t, upstream.requests(), "a request ran and its connection ended without an answer")
+}
