A planned stop answers requests on connections that were accepted before it

Once the stop had begun, the server read a whole request and dropped it: the first one on a connection that was accepted just before, and the next one after a stream whose header, sent before the stop, did not announce the close. A connection that sent nothing held the stop for some five seconds, to the end of the grace period.

Cause: http.Server.Shutdown decides by its own view of a connection, which cannot tell a request on its way from silence, and drops what it reads afterwards.

Change: the front drains its connections itself, by their states: it closes its listeners, an idle connection after 20 ms, or after half a second if its first request may be on its way, and the others once they have no request in progress. Requests that come meanwhile are served and told to close. Requests that were never sent are refused with 503, not 504, once the rest has been ended, and a cancelled dial no longer counts against its upstream. The wrapped connection passes CloseWrite on, whose lack delayed the end of some refusals by half a second, and the header timeout of a new connection begins with its first byte.

Not changed: connections that the kernel has accepted and the host has not are reset when the listener closes.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -119,10 +119,7 @@
 }
 
 func startEntryServers(deployment persimsettings.Deployment, entry persimentry.Entry) (*entryServers, error) {
-	servers := &entryServers{callers: &http.Server{
-		ReadHeaderTimeout: entryHeaderTimeout,
-		MaxHeaderBytes:    entryMaxHeaderBytes,
-	}}
+	servers := &entryServers{callers: &http.Server{MaxHeaderBytes: entryMaxHeaderBytes}}
 	if err := listenAndServe(deployment.CallerAddress, servers.callers, entry.ServeCallers); err != nil {
 		return nil, err
 	}
@@ -165,22 +162,22 @@
 	deadline := start.Add(deployment.Bounds.ShutdownGrace - exitMargin)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if err := servers.callers.Shutdown(drainCtx); err != nil {
+	if err := entry.Drain(drainCtx); err != nil {
 		klog.InfoS("stop: requests are ended", "inFlight", entry.InFlight(), "error", persimlog.ErrorText(err))
-		abortRequests(ctx, entry, servers.callers)
+		abortRequests(ctx, entry)
 	}
-	for _, server := range servers.internal {
+	for _, server := range append(servers.internal, servers.callers) {
 		_ = server.Close()
 	}
 	klog.InfoS("stopped", "took", time.Since(start))
 }
 
 // abortRequests ends the requests in progress and waits until their callers are answered.
-func abortRequests(ctx context.Context, entry persimentry.Entry, callers *http.Server) {
+func abortRequests(ctx context.Context, entry persimentry.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, abortTimeout)
 	defer cancel()
 	entry.AbortRequests()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := entry.Drain(ctx); err != nil {
 		klog.InfoS("stop: connections are cut off", "inFlight", entry.InFlight(), "error", persimlog.ErrorText(err))
 	}
 }
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -62,6 +62,9 @@
 	BeginDrain()
 	// ReleaseLease releases the lease, so that another host can acquire it.
 	ReleaseLease(ctx context.Context)
+	// Drain accepts no more connections of callers and closes each one once it has no request
+	// in progress. It returns when none is left, or the context's error if that ends first.
+	Drain(ctx context.Context) error
 	// AbortRequests ends all requests in progress: those whose response has not begun are
 	// answered with an error, the others are broken off.
 	AbortRequests()
@@ -159,6 +162,8 @@
 
 func (e *entry) MetricsHandler() http.Handler { return e.metrics.Handler() }
 
+func (e *entry) Drain(ctx context.Context) error { return e.front.Drain(ctx) }
+
 func (e *entry) AbortRequests() { e.front.AbortRequests() }
 
 func (e *entry) InFlight() int { return e.front.InFlight() }
--- a/persimfront/connections.go
+++ b/persimfront/connections.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -18,6 +22,18 @@
 const (
 	closedAsIdle        = "idle"
 	closedForSlowHeader = "header took too long"
+	closedForStop       = "host stops"
+)
+
+const (
+	// defaultHeaderTimeout limits the time to send a header where the configuration sets no
+	// limit, defaultIdleTimeout that between requests until there is a configuration.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 10 * time.Second
+	// drainIdleTimeout is how long a connection stays idle during a drain, and
+	// drainFirstTimeout one that has carried no request, whose first one may be on its way.
+	drainIdleTimeout  = 20 * time.Millisecond
+	drainFirstTimeout = 500 * time.Millisecond
 )
 
 // callerConnState says what a connection of a caller is used for.
@@ -39,22 +55,18 @@
 // progress: the decision to close it and the arrival of a request exclude each other.
 type callerConn struct {
 	net.Conn
-	limits func() persimcatalog.Limits
+	conns *callerConns
 
 	mu    sync.Mutex
 	state callerConnState
 	since time.Time
 	timer *time.Timer
+	// served is set once the connection has carried a request.
+	served bool
 	// closedCause is why the host closed the connection, if it did.
 	closedCause string
 }
 
-func newCallerConn(conn net.Conn, limits func() persimcatalog.Limits) *callerConn {
-	c := &callerConn{Conn: conn, limits: limits}
-	c.setState(connIdle)
-	return c
-}
-
 // setState records what the connection is used for from now on. It returns false if the
 // connection is closed.
 func (c *callerConn) setState(state callerConnState) bool {
@@ -69,10 +81,18 @@
 	}
 	c.state = state
 	c.since = time.Now()
+	c.served = c.served || state == connServing
 	c.startTimerLocked()
 	return true
 }
 
+// restartTimer starts the timer anew for limits that have changed.
+func (c *callerConn) restartTimer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startTimerLocked()
+}
+
 // startTimerLocked starts the timer for the limit of the current state, if there is one.
 func (c *callerConn) startTimerLocked() {
 	if c.timer != nil {
@@ -86,11 +106,15 @@
 // limitLocked returns how long the connection may stay in its state, and the cause for
 // which it is closed after that. Zero means no limit.
 func (c *callerConn) limitLocked() (time.Duration, string) {
-	switch c.state {
-	case connIdle:
-		return c.limits().IdleTimeout, closedAsIdle
-	case connReceiving:
-		return c.limits().HeaderTimeout, closedForSlowHeader
+	switch {
+	case c.state == connIdle && c.conns.draining.Load() && c.served:
+		return drainIdleTimeout, closedForStop
+	case c.state == connIdle && c.conns.draining.Load():
+		return drainFirstTimeout, closedForStop
+	case c.state == connIdle:
+		return c.conns.limits().IdleTimeout, closedAsIdle
+	case c.state == connReceiving:
+		return c.conns.limits().HeaderTimeout, closedForSlowHeader
 	default:
 		return 0, ""
 	}
@@ -156,13 +180,111 @@
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.setState(connClosed)
+	c.conns.remove(c)
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the sending side, where the connection has one.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// callerConns holds the open connections of callers.
+type callerConns struct {
+	limits func() persimcatalog.Limits
+	// draining is set once each connection is to be closed when it has no request in
+	// progress.
+	draining atomic.Bool
+	// removed gets a value after a connection was closed.
+	removed chan struct{}
+
+	// accepting covers the listeners.
+	accepting sync.WaitGroup
+
+	mu        sync.Mutex
+	open      map[*callerConn]struct{}
+	listeners []net.Listener
+}
+
+func newCallerConns(limits func() persimcatalog.Limits) *callerConns {
+	return &callerConns{limits: limits, removed: make(chan struct{}, 1), open: map[*callerConn]struct{}{}}
+}
+
+// add returns the connection of a caller that was accepted.
+func (cs *callerConns) add(conn net.Conn) *callerConn {
+	c := &callerConn{Conn: conn, conns: cs}
+	cs.mu.Lock()
+	cs.open[c] = struct{}{}
+	cs.mu.Unlock()
+	c.setState(connIdle)
+	return c
+}
+
+func (cs *callerConns) remove(c *callerConn) {
+	cs.mu.Lock()
+	delete(cs.open, c)
+	cs.mu.Unlock()
+	select {
+	case cs.removed <- struct{}{}:
+	default:
+	}
+}
+
+func (cs *callerConns) list() []*callerConn {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return slices.Collect(maps.Keys(cs.open))
+}
+
+// serve lets a server serve the connections of a listener until that is closed.
+func (cs *callerConns) serve(server *http.Server, listener net.Listener) error {
+	cs.accepting.Add(1)
+	defer cs.accepting.Done()
+	cs.mu.Lock()
+	cs.listeners = append(cs.listeners, listener)
+	cs.mu.Unlock()
+	err := server.Serve(callerListener{Listener: listener, conns: cs})
+	if cs.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+func (cs *callerConns) closeListeners() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for _, listener := range cs.listeners {
+		_ = listener.Close()
+	}
+	cs.listeners = nil
+}
+
+// drain closes the listeners, and each connection once it has no request in progress. It
+// returns when none is left, or the context's error if that ends first.
+func (cs *callerConns) drain(ctx context.Context) error {
+	cs.draining.Store(true)
+	cs.closeListeners()
+	cs.accepting.Wait()
+	for _, c := range cs.list() {
+		c.restartTimer()
+	}
+	for len(cs.list()) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-cs.removed:
+		}
+	}
+	return nil
+}
+
 // callerListener accepts connections of callers.
 type callerListener struct {
 	net.Listener
-	limits func() persimcatalog.Limits
+	conns *callerConns
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
@@ -170,7 +292,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(conn, l.limits), nil
+	return l.conns.add(conn), nil
 }
 
 // onConnState is the ConnState hook of http.Server.
@@ -202,9 +324,11 @@
 	server.Handler = f
 	server.ConnState = onConnState
 	server.ConnContext = withConn
-	return server.Serve(callerListener{Listener: listener, limits: f.limits})
+	return f.callerConns.serve(server, listener)
 }
 
+func (f *front) Drain(ctx context.Context) error { return f.callerConns.drain(ctx) }
+
 // leftCause returns the cause that is logged for a request whose connection has ended.
 func (c *call) leftCause() string {
 	conn, ok := c.request.Context().Value(connContextKey{}).(*callerConn)
@@ -214,9 +338,17 @@
 	return "caller left"
 }
 
+// limits returns the limits of the configuration, or the defaults until there is one.
 func (f *front) limits() persimcatalog.Limits {
-	catalogue, _ := f.Catalogue()
-	return catalogue.Limits()
+	catalogue, known := f.Catalogue()
+	limits := catalogue.Limits()
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
+	}
+	if !known {
+		limits.IdleTimeout = defaultIdleTimeout
+	}
+	return limits
 }
 
 // headerBytes returns the size of a request's method, target, host and header fields,
--- a/persimfront/connections_test.go
+++ b/persimfront/connections_test.go
@@ -102,7 +102,7 @@
 			h := newHarness(t, newFakeUpstream(t, "w1", respondOK()))
 			limits := persimcatalog.Limits{IdleTimeout: testIdleTimeout, HeaderTimeout: 2 * testIdleTimeout}
 			h.setLimits(limits)
-			conn, _ := serveWrapped(t, h, func(conn net.Conn) net.Conn { return conn })
+			conn := serveWrapped(t, h, func(conn net.Conn) net.Conn { return conn })
 			reader := bufio.NewReader(conn)
 			requireAnswer(t, conn, reader, request, http.StatusOK)
 			if tt.raiseTo > 0 {
@@ -125,7 +125,7 @@
 func TestSlowHeaderOnAnOpenConnectionEndsIt(t *testing.T) {
 	h := newHarness(t, newFakeUpstream(t, "w1", respondOK()))
 	h.setLimits(persimcatalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: testHeaderTimeout})
-	conn, _ := serveWrapped(t, h, func(conn net.Conn) net.Conn { return conn })
+	conn := serveWrapped(t, h, func(conn net.Conn) net.Conn { return conn })
 	requireAnswer(t, conn, bufio.NewReader(conn), requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
 	_, err := io.WriteString(conn, "GET /safe/")
 	require.NoError(t, err)
@@ -145,9 +145,9 @@
 	_, err = io.WriteString(caller, "GET")
 	require.NoError(t, err)
 	time.Sleep(10 * time.Millisecond)
-	accepted, err := callerListener{Listener: listener, limits: func() persimcatalog.Limits {
+	accepted, err := callerListener{Listener: listener, conns: newCallerConns(func() persimcatalog.Limits {
 		return persimcatalog.Limits{IdleTimeout: testHeaderTimeout, HeaderTimeout: time.Minute}
-	}}.Accept()
+	})}.Accept()
 	require.NoError(t, err)
 	defer func() { _ = accepted.Close() }()
 	time.Sleep(2 * testHeaderTimeout)
--- /dev/null
+++ b/persimfront/drain_test.go
@@ -0,0 +1,120 @@
+package persimfront
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonport.example/persimcatalog"
+)
+
+func unwrapped(conn net.Conn) net.Conn { return conn }
+
+// beginDrain starts a drain as a planned stop does and returns where its end is told.
+func beginDrain(h *harness) <-chan error {
+	done := make(chan error, 1)
+	h.front.DisableKeepAlives()
+	go func() { done <- h.front.Drain(context.Background()) }()
+	return done
+}
+
+// requireDrained requires that a drain has ended within a time.
+func requireDrained(t *testing.T, done <-chan error, within time.Duration) {
+	t.Helper()
+	select {
+	case err := <-done:
+		require.NoError(t, err)
+	case <-time.After(within):
+		require.Fail(t, "the drain goes on")
+	}
+}
+
+// TestFirstRequestDuringADrainIsAnswered guards against a whole request without an answer on
+// a connection that was accepted just before the host stopped accepting.
+func TestFirstRequestDuringADrainIsAnswered(t *testing.T) {
+	h := newHarness(t, newFakeUpstream(t, "w1", respondOK()))
+	conn := serveWrapped(t, h, unwrapped)
+	time.Sleep(20 * time.Millisecond)
+	done := beginDrain(h)
+	time.Sleep(drainFirstTimeout / 5)
+	requireAnswer(t, conn, bufio.NewReader(conn), requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+	requireDrained(t, done, time.Second)
+}
+
+// TestRequestAfterAStreamThatOutlastsADrainIsAnswered guards against a request without an
+// answer on a connection whose caller was not told that it closes.
+func TestRequestAfterAStreamThatOutlastsADrainIsAnswered(t *testing.T) {
+	finish := make(chan struct{})
+	h := newHarness(t, newFakeUpstream(t, "w1", func(conn net.Conn, req *http.Request, body []byte) bool {
+		if !strings.HasPrefix(req.URL.Path, "/stream/") {
+			return respondOK()(conn, req, body)
+		}
+		respondWith("200 OK", streamHeader+chunk(event(1)), true)(conn, req, body)
+		<-finish
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	}))
+	conn := serveWrapped(t, h, unwrapped)
+	reader := bufio.NewReader(conn)
+	_, err := io.WriteString(conn, requestHead("POST", "/stream/")+"Content-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, len(event(1))))
+	require.NoError(t, err)
+	done := beginDrain(h)
+	_, err = io.WriteString(conn, requestHead("GET", "/safe/")+"\r\n")
+	require.NoError(t, err)
+	close(finish)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	requireAnswer(t, conn, reader, "", http.StatusOK)
+	requireDrained(t, done, time.Second)
+}
+
+// TestSilentConnectionsDoNotDelayADrain covers connections that have carried no request, or
+// that are idle between two.
+func TestSilentConnectionsDoNotDelayADrain(t *testing.T) {
+	h := newHarness(t, newFakeUpstream(t, "w1", respondOK()))
+	h.setLimits(persimcatalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Minute})
+	used := serveWrapped(t, h, unwrapped)
+	requireAnswer(t, used, bufio.NewReader(used), requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+	_ = h.dial(t)
+	time.Sleep(20 * time.Millisecond)
+	requireDrained(t, beginDrain(h), 2*drainFirstTimeout)
+}
+
+func TestDrainEndsWithItsContext(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	h := newHarness(t, newFakeUpstream(t, "w1", func(net.Conn, *http.Request, []byte) bool {
+		<-silent
+		return false
+	}))
+	conn := serveWrapped(t, h, unwrapped)
+	_, err := io.WriteString(conn, requestHead("POST", "/stream/")+"Content-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return h.front.InFlight() == 1 }, time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, h.front.Drain(ctx), context.DeadlineExceeded)
+}
+
+// TestRequestThatWasNotSentIsRefusedAfterAnAbort covers requests that come once the host has
+// ended those in progress: they did not run and may come back.
+func TestRequestThatWasNotSentIsRefusedAfterAnAbort(t *testing.T) {
+	upstream := newFakeUpstream(t, "w1", respondOK())
+	h := newHarness(t, upstream)
+	h.front.AbortRequests()
+	resp, _, err := h.get(t, "POST", "/unsafe/", "Content-Length: 0\r\n")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Empty(t, upstream.requests())
+}
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -63,6 +63,9 @@
 	Serve(server *http.Server, listener net.Listener) error
 	// DisableKeepAlives adds "Connection: close" to the responses of all later requests.
 	DisableKeepAlives()
+	// Drain accepts no more connections of callers and closes each one once it has no request
+	// in progress. It returns when none is left, or the context's error if that ends first.
+	Drain(ctx context.Context) error
 	// AbortRequests ends all requests in progress: those whose response has not begun are
 	// answered with an error, the others are broken off.
 	AbortRequests()
@@ -131,6 +134,8 @@
 	// heldBodyBytes is the size of all request bodies in memory.
 	heldBodyBytes atomic.Int64
 
+	callerConns *callerConns
+
 	// aborted ends when AbortRequests is called.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -147,6 +152,7 @@
 		opt(&c)
 	}
 	f := &front{config: c, dispatcher: newDispatcher(c.bounds)}
+	f.callerConns = newCallerConns(f.limits)
 	f.aborted, f.abort = context.WithCancel(context.Background())
 	return f
 }
--- a/persimfront/lost_test.go
+++ b/persimfront/lost_test.go
@@ -30,9 +30,9 @@
 	return l.wrap(conn), nil
 }
 
-// serveWrapped serves the front of a harness on connections that the test has wrapped. It
-// returns a connection of a caller and the server.
-func serveWrapped(t *testing.T, h *harness, wrap func(net.Conn) net.Conn) (net.Conn, *http.Server) {
+// serveWrapped serves the front of a harness on connections that the test has wrapped and
+// returns a connection of a caller.
+func serveWrapped(t *testing.T, h *harness, wrap func(net.Conn) net.Conn) net.Conn {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -40,7 +40,7 @@
 	go func() { _ = h.front.Serve(server, wrappingListener{listener, wrap}) }()
 	t.Cleanup(func() { _ = server.Close() })
 	h.address = listener.Addr().String()
-	return h.dial(t), server
+	return h.dial(t)
 }
 
 // requireAnswer sends a request on a caller's connection and requires a complete answer
@@ -88,7 +88,7 @@
 				}
 				return respondOK()(conn, req, body)
 			}))
-			caller, _ := serveWrapped(t, h, func(conn net.Conn) net.Conn {
+			caller := serveWrapped(t, h, func(conn net.Conn) net.Conn {
 				return quickConn{Conn: conn, shorten: writeTimeout - streamDeadline}
 			})
 			reader := bufio.NewReader(caller)
@@ -117,10 +117,10 @@
 	tests := map[string]struct {
 		idleTimeout time.Duration
 		// begin starts what closes the connection.
-		begin func(server *http.Server)
+		begin func(f Front)
 	}{
-		"idle for too long": {idleTimeout: testIdleTimeout, begin: func(*http.Server) {}},
-		"planned stop":      {idleTimeout: time.Minute, begin: func(server *http.Server) { _ = server.Shutdown(context.Background()) }},
+		"idle for too long": {idleTimeout: testIdleTimeout, begin: func(Front) {}},
+		"planned stop":      {idleTimeout: time.Minute, begin: func(f Front) { _ = f.Drain(context.Background()) }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -131,7 +131,7 @@
 			h := newHarness(t, upstream)
 			h.setLimits(persimcatalog.Limits{IdleTimeout: tt.idleTimeout})
 			closing, proceed := make(chan struct{}), make(chan struct{})
-			caller, server := serveWrapped(t, h, func(conn net.Conn) net.Conn {
+			caller := serveWrapped(t, h, func(conn net.Conn) net.Conn {
 				return &slowCloseConn{Conn: conn, beforeClose: func() {
 					close(closing)
 					<-proceed
@@ -140,7 +140,7 @@
 			reader := bufio.NewReader(caller)
 			requireAnswer(t, caller, reader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
 			time.Sleep(50 * time.Millisecond)
-			go tt.begin(server)
+			go tt.begin(h.front)
 			<-closing
 			_, err := io.WriteString(caller, requestHead("GET", "/safe/")+"\r\n")
 			require.NoError(t, err)
@@ -176,10 +176,10 @@
 		h.front.ServeHTTP(w, r)
 	})
 	server := &http.Server{Handler: late, ConnContext: withConn, ReadHeaderTimeout: time.Minute}
-	limits := persimcatalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: testHeaderTimeout}
-	go func() {
-		_ = server.Serve(callerListener{Listener: slowClose, limits: func() persimcatalog.Limits { return limits }})
-	}()
+	conns := newCallerConns(func() persimcatalog.Limits {
+		return persimcatalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: testHeaderTimeout}
+	})
+	go func() { _ = server.Serve(callerListener{Listener: slowClose, conns: conns}) }()
 	t.Cleanup(func() { _ = server.Close() })
 	h.address = listener.Addr().String()
 	caller := h.dial(t)
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -100,7 +100,7 @@
 		panic(http.ErrAbortHandler)
 	case errorResponse != nil:
 		c.send(w, errorResponse, "upstream failed")
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && (mayHaveRun || c.front.aborted.Err() == nil):
 		c.refuse(w, refusal{status: http.StatusGatewayTimeout, cause: c.endCause() + ": " + cause})
 	case mayHaveRun:
 		c.refuse(w, refusal{status: http.StatusBadGateway, cause: cause})
@@ -177,6 +177,9 @@
 	c.tried = append(c.tried, choice.Upstream.ID)
 	f := c.front
 	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return resultNotRun, nil, "canceled while connecting"
+	}
 	if err != nil {
 		c.connectFailures++
 		c.recordConnectFailure(choice.Upstream, persimplace.OutcomeConnectFailed, choice)
