Split persimrouter/router.go by concept

No line of logic changes: the sorted lines of the package are equal but for imports and a constant that now stands alone.

--- a/persimrouter/ejection.go
+++ b/persimrouter/ejection.go
@@ -5,6 +5,16 @@
 	"time"
 )
 
+const (
+	// minSilence is the time without progress that is always tolerated.
+	minSilence = time.Second
+	// minLatencySamples is the number of samples from which on the latency of an
+	// upstream is compared with the median.
+	minLatencySamples = 2
+	// failuresToEject is the number of consecutive failures that eject an upstream.
+	failuresToEject = 3
+)
+
 // UpdateEjections ejects outliers, upstreams that fail or are slow relative to their
 // group, worst first and up to the maximum ejected share of the group. It readmits
 // upstreams that were ejected for a long time without a probe.
