Split persimflight/table.go by concept

What: update.go sends and applies updates, retention.go ends the retention of requests; the constants of retention move with it. No line of logic changes: the sorted lines of the package are equal but for imports and the constants' comments.

--- a/persimflight/table.go
+++ b/persimflight/table.go
@@ -7,21 +7,13 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"google.golang.org/protobuf/proto"
 
 	"persimmonport.example/persimwire"
 )
 
-// Defaults of a table.
-const (
-	// DefaultLimit is half the maximum number of requests in a table, which leaves room
-	// for as many replicas as owned requests.
-	DefaultLimit = 20000
-	// DefaultMovedRetention is how long a host remembers the new owner of a moved request.
-	DefaultMovedRetention = 5 * time.Minute
-	// replicaGrace is how long a replica is kept beyond the owner's retention.
-	replicaGrace = 10 * time.Second
-)
+// DefaultLimit is half the maximum number of requests in a table, which leaves room
+// for as many replicas as owned requests.
+const DefaultLimit = 20000
 
 type config struct {
 	limit  int
@@ -112,28 +104,6 @@
 	}
 }
 
-// markDirty records that a flight has changes that its replica holder lacks.
-func (t *table) markDirty(holder string, f *Flight) {
-	t.dirtyMu.Lock()
-	flights, ok := t.dirty[holder]
-	if !ok {
-		flights = map[*Flight]struct{}{}
-		t.dirty[holder] = flights
-	}
-	flights[f] = struct{}{}
-	t.dirtyMu.Unlock()
-	t.notify(holder)
-}
-
-// takeDirty removes and returns the flights with changes for a holder.
-func (t *table) takeDirty(holder string) map[*Flight]struct{} {
-	t.dirtyMu.Lock()
-	defer t.dirtyMu.Unlock()
-	flights := t.dirty[holder]
-	delete(t.dirty, holder)
-	return flights
-}
-
 func (t *table) Add(state *persimwire.Flight, replica string) (*Flight, bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,6 +138,13 @@
 	}
 }
 
+func (t *table) remove(id string, f *Flight) {
+	delete(t.flights, id)
+	if t.byKey[f.key] == f {
+		delete(t.byKey, f.key)
+	}
+}
+
 func (t *table) Get(id string) (*Flight, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -200,91 +177,18 @@
 	return flights
 }
 
-func (t *table) Collect(holder string, now time.Time) Update {
-	update := Update{sentStates: map[string]sentState{}}
-	for f := range t.takeDirty(holder) {
-		f.appendTo(&update, holder, now)
-	}
-	return update
-}
-
-func (t *table) Confirm(update Update, rejections []*persimwire.Rejection, holder string) {
-	causes := map[string]persimwire.RejectionCause{}
-	for _, r := range rejections {
-		causes[r.GetId()] = r.GetCause()
-	}
-	for id, sent := range update.sentStates {
-		f, err := t.Get(id)
-		if err != nil {
-			continue
-		}
-		switch causes[id] {
-		case persimwire.RejectionCause_REJECTION_CAUSE_OWNED:
-			if f.Replica() == holder {
-				f.markMoved(holder)
-			}
-		case persimwire.RejectionCause_REJECTION_CAUSE_UNKNOWN:
-			f.requeue(true)
-		case persimwire.RejectionCause_REJECTION_CAUSE_FULL:
-			f.SetReplica("")
-		default:
-			f.confirmReplicated(sent)
-		}
-	}
-}
-
-func (t *table) Requeue(update Update) {
-	for id := range update.sentStates {
-		if f, err := t.Get(id); err == nil {
-			f.requeue(false)
-		}
-	}
-}
-
-func (t *table) ApplyUpdate(request *persimwire.ReplicateRequest, now time.Time) []*persimwire.Rejection {
-	var rejections []*persimwire.Rejection
-	reject := func(id string, cause persimwire.RejectionCause) {
-		rejections = append(rejections, &persimwire.Rejection{Id: id, Cause: cause})
-	}
-	for _, state := range request.GetFlights() {
-		if cause := t.applyState(state, now); cause != persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED {
-			reject(state.GetId(), cause)
-		}
-	}
-	for _, p := range request.GetProgress() {
-		f, err := t.Get(p.GetId())
-		if err != nil {
-			reject(p.GetId(), persimwire.RejectionCause_REJECTION_CAUSE_UNKNOWN)
-			continue
-		}
-		if cause := f.applyProgress(p); cause != persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED {
-			reject(p.GetId(), cause)
-		}
-	}
-	for _, id := range request.GetFinished() {
-		t.Acknowledge(id)
+func (t *table) Promote(id string) (*Flight, bool) {
+	f, err := t.Get(id)
+	if err != nil {
+		return nil, false
 	}
-	return rejections
+	return f, f.promote(t.host)
 }
 
-func (t *table) applyState(state *persimwire.Flight, now time.Time) persimwire.RejectionCause {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if existing, ok := t.flights[state.GetId()]; ok {
-		if existing.replaceState(state, now) {
-			return persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED
-		}
-		return persimwire.RejectionCause_REJECTION_CAUSE_OWNED
-	}
-	if len(t.flights) >= 2*t.limit {
-		return persimwire.RejectionCause_REJECTION_CAUSE_FULL
-	}
-	f := newFlight(proto.CloneOf(state), RoleReplica, t, now)
-	if isFinalPhase(state.GetPhase()) {
-		f.endedAt = now
+func (t *table) MarkMoved(id, host string) {
+	if f, err := t.Get(id); err == nil {
+		f.markMoved(host)
 	}
-	t.insert(f)
-	return persimwire.RejectionCause_REJECTION_CAUSE_UNSPECIFIED
 }
 
 func (t *table) AcceptHandover(state *persimwire.Flight, now time.Time) (*Flight, error) {
@@ -303,20 +207,6 @@
 	return f, nil
 }
 
-func (t *table) Promote(id string) (*Flight, bool) {
-	f, err := t.Get(id)
-	if err != nil {
-		return nil, false
-	}
-	return f, f.promote(t.host)
-}
-
-func (t *table) MarkMoved(id, host string) {
-	if f, err := t.Get(id); err == nil {
-		f.markMoved(host)
-	}
-}
-
 func (t *table) BeginHandover(id, host string, now time.Time) (*persimwire.Flight, bool) {
 	f, err := t.Get(id)
 	if err != nil {
@@ -347,55 +237,6 @@
 	})
 }
 
-func (t *table) Acknowledge(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	f, ok := t.flights[id]
-	if !ok || !f.finished() {
-		return
-	}
-	t.remove(id, f)
-}
-
-func (f *Flight) finished() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return isFinalPhase(f.state.GetPhase())
-}
-
-func (t *table) remove(id string, f *Flight) {
-	delete(t.flights, id)
-	if t.byKey[f.key] == f {
-		delete(t.byKey, f.key)
-	}
-}
-
-func (t *table) Evict(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, f := range t.flights {
-		if f.expired(now) {
-			t.remove(id, f)
-		}
-	}
-}
-
-func (f *Flight) expired(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	retention := f.state.GetRetention().AsDuration()
-	if f.role == RoleMoved {
-		return now.Sub(f.endedAt) > DefaultMovedRetention
-	}
-	if f.role == RoleReplica {
-		retention += replicaGrace
-	}
-	if isFinalPhase(f.state.GetPhase()) {
-		return now.Sub(f.endedAt) > retention
-	}
-	return now.Sub(f.deadline) > retention
-}
-
 func (t *table) Counts() (owned, replicas int) {
 	for _, f := range t.sortedFlights() {
 		switch role, _ := f.Role(); role {
