Use one constant for the limit of messages between hosts

Cause: 8 MiB stood twice for one limit, MaxPeerMessageBytes of the root package for requests and persimpeer.MaxMessageBytes for responses, so one could change alone. What: the root package uses persimpeer.MaxMessageBytes; MaxPeerMessageBytes had no other use and is gone. The value stays.

--- a/peers.go
+++ b/peers.go
@@ -10,13 +10,11 @@
 
 	"persimmonport.example/persimflight"
 	"persimmonport.example/persimmember"
+	"persimmonport.example/persimpeer"
 	"persimmonport.example/persimprofile"
 	"persimmonport.example/persimwire"
 )
 
-// MaxPeerMessageBytes is the maximum size of a message from another host.
-const MaxPeerMessageBytes = 8 << 20
-
 // peerService implements the API for other entry hosts.
 type peerService struct {
 	host *host
@@ -24,7 +22,7 @@
 
 func (h *host) Peers() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(persimwire.NewPeerServiceHandler(peerService{h}, connect.WithReadMaxBytes(MaxPeerMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
+	mux.Handle(persimwire.NewPeerServiceHandler(peerService{h}, connect.WithReadMaxBytes(persimpeer.MaxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
 	return mux
 }
 
