Forget the final replication when the holder lacks the request

Cause: requeue for a holder that lacks the request reset replicated and replicatedTokens but not replicatedFinal, so AwaitFinalReplication returned before the holder had the final state of a finished request. What: requeue resets replicatedFinal too. Evidence: the new TestFinalReplicationWaitsForAHolderThatLacksTheRequest failed before the change ("returned before the holder has the final state") and passes with it; go vet, golangci-lint (0 issues), go test -race of persimflight and of the root package ok.

--- a/persimflight/flight_test.go
+++ b/persimflight/flight_test.go
@@ -1,9 +1,11 @@
 package persimflight
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -118,6 +120,32 @@
 	require.Equal(t, "a", released(t, p.flight))
 }
 
+// TestFinalReplicationWaitsForAHolderThatLacksTheRequest confirms the final state by a
+// former holder, after which the new holder reports that it does not know the request.
+func TestFinalReplicationWaitsForAHolderThatLacksTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		require.True(t, p.flight.FinishCall([]byte("answer")))
+		late := p.owner.Collect("entry-1", time.Now())
+		p.flight.SetReplica("entry-2")
+		p.owner.Confirm(late, nil, "entry-1")
+		rejected := p.owner.Collect("entry-2", time.Now())
+		unknown := []*persimwire.Rejection{{Id: p.flight.ID(), Cause: persimwire.RejectionCause_REJECTION_CAUSE_UNKNOWN}}
+		p.owner.Confirm(rejected, unknown, "entry-2")
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		p.flight.AwaitFinalReplication(ctx)
+		require.ErrorIs(t, ctx.Err(), context.DeadlineExceeded, "returned before the holder has the final state")
+
+		p.owner.Confirm(p.owner.Collect("entry-2", time.Now()), nil, "entry-2")
+		ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		p.flight.AwaitFinalReplication(ctx)
+		require.NoError(t, ctx.Err(), "waits although the holder has the final state")
+	})
+}
+
 // appendCase is a token and whether Append adds it.
 type appendCase struct {
 	name    string
--- a/persimflight/replication.go
+++ b/persimflight/replication.go
@@ -89,6 +89,7 @@
 	if missing {
 		f.replicated = false
 		f.replicatedTokens = 0
+		f.replicatedFinal = false
 	}
 	f.markDirty()
 }
