Use one function for the end of a request's phases

Cause: isOver in the root package and isFinalPhase in persimflight were the same test. What: persimflight.IsFinalPhase takes the place of both. Evidence: TestFinishNeedsEveryToken (persimflight), TestAcceptedSurvive and TestOrdersRunAtMostOnce (root) cover it; go vet, golangci-lint (0 issues), go test -race of persimflight and of the root package ok.

--- a/drain.go
+++ b/drain.go
@@ -71,7 +71,7 @@
 // service. It is not handed over, since its connection cannot move.
 func (h *host) isCallInProgress(f *persimflight.Flight) bool {
 	state := f.State(time.Now())
-	return state.GetKind() == persimwire.FlightKind_FLIGHT_KIND_CALL && !isOver(state.GetPhase())
+	return state.GetKind() == persimwire.FlightKind_FLIGHT_KIND_CALL && !persimflight.IsFinalPhase(state.GetPhase())
 }
 
 // handoverTarget returns the host to hand a request to, or "". The holder of the
--- a/duplicates.go
+++ b/duplicates.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"persimmonport.example/persimflight"
 	"persimmonport.example/persimledger"
 	"persimmonport.example/persimwire"
 )
@@ -74,7 +75,7 @@
 		if !ok {
 			return nil, false
 		}
-		if isOver(state.GetPhase()) {
+		if persimflight.IsFinalPhase(state.GetPhase()) {
 			return state, true
 		}
 		if !h.ownerResponds(ctx, state) && state.GetOwner() != h.name() {
--- a/persimflight/flight.go
+++ b/persimflight/flight.go
@@ -158,7 +158,7 @@
 func (f *Flight) BeginAttempt(attempt int, upstream, stream string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.role != RoleOwner || isFinalPhase(f.state.GetPhase()) {
+	if f.role != RoleOwner || IsFinalPhase(f.state.GetPhase()) {
 		return false
 	}
 	f.state.Attempt = int32(attempt)
@@ -175,7 +175,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := f.role == RoleOwner && int(f.state.GetAttempt()) == attempt
-	if !current || isFinalPhase(f.state.GetPhase()) || offset != len(f.state.GetTokens()) {
+	if !current || IsFinalPhase(f.state.GetPhase()) || offset != len(f.state.GetTokens()) {
 		return false
 	}
 	f.state.Tokens = append(f.state.Tokens, token)
@@ -189,7 +189,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := f.role == RoleOwner && int(f.state.GetAttempt()) == attempt
-	if !current || isFinalPhase(f.state.GetPhase()) || tokens != len(f.state.GetTokens()) {
+	if !current || IsFinalPhase(f.state.GetPhase()) || tokens != len(f.state.GetTokens()) {
 		return false
 	}
 	f.setFinalPhase(persimwire.Phase_PHASE_DONE)
@@ -201,7 +201,7 @@
 func (f *Flight) FinishCall(body []byte) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.role != RoleOwner || isFinalPhase(f.state.GetPhase()) {
+	if f.role != RoleOwner || IsFinalPhase(f.state.GetPhase()) {
 		return false
 	}
 	f.state.Answer = body
@@ -214,7 +214,7 @@
 func (f *Flight) Refuse(refusal *persimwire.Refusal) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.role != RoleOwner || isFinalPhase(f.state.GetPhase()) {
+	if f.role != RoleOwner || IsFinalPhase(f.state.GetPhase()) {
 		return false
 	}
 	f.state.Refusal = refusal
@@ -228,7 +228,8 @@
 	f.recordChange()
 }
 
-func isFinalPhase(phase persimwire.Phase) bool {
+// IsFinalPhase reports whether a request in the phase has ended.
+func IsFinalPhase(phase persimwire.Phase) bool {
 	return phase == persimwire.Phase_PHASE_DONE || phase == persimwire.Phase_PHASE_FAILED
 }
 
--- a/persimflight/replication.go
+++ b/persimflight/replication.go
@@ -50,7 +50,7 @@
 	}
 	f.dirty = false
 	tokens := f.state.GetTokens()
-	update.sentStates[f.id] = sentState{tokens: len(tokens), isFinal: isFinalPhase(f.state.GetPhase())}
+	update.sentStates[f.id] = sentState{tokens: len(tokens), isFinal: IsFinalPhase(f.state.GetPhase())}
 	if !f.replicated {
 		update.Flights = append(update.Flights, f.snapshot(now))
 		return
@@ -168,7 +168,7 @@
 	f.state.Stream = p.GetStream()
 	f.state.Answer = p.GetAnswer()
 	f.state.Refusal = p.GetRefusal()
-	if isFinalPhase(p.GetPhase()) {
+	if IsFinalPhase(p.GetPhase()) {
 		f.endedAt = time.Now()
 	}
 	f.wakeWaiters()
@@ -194,7 +194,7 @@
 	f.state = proto.CloneOf(state)
 	f.deadline = now.Add(state.GetRemaining().AsDuration())
 	f.releasedTokens = len(state.GetTokens())
-	if isFinalPhase(state.GetPhase()) {
+	if IsFinalPhase(state.GetPhase()) {
 		f.endedAt = now
 	}
 	f.wakeWaiters()
--- a/persimflight/retention.go
+++ b/persimflight/retention.go
@@ -25,7 +25,7 @@
 func (f *Flight) finished() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return isFinalPhase(f.state.GetPhase())
+	return IsFinalPhase(f.state.GetPhase())
 }
 
 func (t *table) Evict(now time.Time) {
@@ -48,7 +48,7 @@
 	if f.role == RoleReplica {
 		retention += replicaGrace
 	}
-	if isFinalPhase(f.state.GetPhase()) {
+	if IsFinalPhase(f.state.GetPhase()) {
 		return now.Sub(f.endedAt) > retention
 	}
 	return now.Sub(f.deadline) > retention
--- a/persimflight/update.go
+++ b/persimflight/update.go
@@ -110,7 +110,7 @@
 		return persimwire.RejectionCause_REJECTION_CAUSE_FULL
 	}
 	f := newFlight(proto.CloneOf(state), RoleReplica, t, now)
-	if isFinalPhase(state.GetPhase()) {
+	if IsFinalPhase(state.GetPhase()) {
 		f.endedAt = now
 	}
 	t.insert(f)
--- a/runner.go
+++ b/runner.go
@@ -106,7 +106,7 @@
 // continueFlight runs a model request that this host has taken over or resumed.
 func (h *host) continueFlight(f *persimflight.Flight) {
 	state := f.State(time.Now())
-	if state.GetKind() != persimwire.FlightKind_FLIGHT_KIND_MODEL || isOver(state.GetPhase()) {
+	if state.GetKind() != persimwire.FlightKind_FLIGHT_KIND_MODEL || persimflight.IsFinalPhase(state.GetPhase()) {
 		return
 	}
 	service, profile, ok := h.catalogue.Current().Service(state.GetService())
@@ -123,10 +123,6 @@
 	go r.continueFrom(state)
 }
 
-func isOver(phase persimwire.Phase) bool {
-	return phase == persimwire.Phase_PHASE_DONE || phase == persimwire.Phase_PHASE_FAILED
-}
-
 // continueFrom attaches to the engine's stream if it still runs, otherwise starts
 // another attempt after the tokens that were already released.
 func (r *modelRunner) continueFrom(state *persimwire.Flight) {
@@ -179,7 +175,7 @@
 // recordEnd records the duration and the outcome of a request that ended on this host.
 func (h *host) recordEnd(f *persimflight.Flight, job persimpolicy.Job) {
 	state := f.State(time.Now())
-	if !isOver(state.GetPhase()) {
+	if !persimflight.IsFinalPhase(state.GetPhase()) {
 		return
 	}
 	outcome := "done"
