Look up an organisation's request in one function

Cause: eight places got a request from the table and compared its organisation. What: flightOf does both; Locate, Follow, Pass, cancelRequest, acknowledge, relayOnce, takeOver and findFlight call it. The order of the checks stays. Evidence: TestForeignOrganisationGetsNothing covers the check, TestAcceptedSurvive and TestCancelStopsTheEngine the other paths; go vet, golangci-lint (0 issues), go test -race of the root package ok.

--- a/peers.go
+++ b/peers.go
@@ -79,8 +79,8 @@
 
 func (p peerService) Locate(_ context.Context, req *connect.Request[persimwire.LocateRequest]) (*connect.Response[persimwire.LocateResponse], error) {
 	response := &persimwire.LocateResponse{}
-	f, err := p.host.flights.Get(req.Msg.GetId())
-	if err != nil || f.Organisation() != req.Msg.GetOrganisation() {
+	f, ok := p.host.flightOf(req.Msg.GetOrganisation(), req.Msg.GetId())
+	if !ok {
 		return connect.NewResponse(response), nil
 	}
 	role, movedTo := f.Role()
@@ -95,8 +95,8 @@
 
 func (p peerService) Follow(ctx context.Context, req *connect.Request[persimwire.FollowRequest], stream *connect.ServerStream[persimwire.StreamEvent]) error {
 	msg := req.Msg
-	f, err := p.host.flights.Get(msg.GetId())
-	if err != nil || f.Organisation() != msg.GetOrganisation() {
+	f, ok := p.host.flightOf(msg.GetOrganisation(), msg.GetId())
+	if !ok {
 		return refusalError(unknownOutcomeRefusal(persimwire.Reason_REASON_NOT_FOUND, "unknown request"))
 	}
 	if role, _ := f.Role(); role != persimflight.RoleOwner {
@@ -191,7 +191,7 @@
 // cancelRequest cancels a request on the host that owns it.
 func (h *host) cancelRequest(ctx context.Context, organisation, id string) (bool, *persimwire.Refusal) {
 	refusal := unknownOutcomeRefusal(persimwire.Reason_REASON_CANCELLED, "cancelled by the caller")
-	if f, err := h.flights.Get(id); err == nil && f.Organisation() == organisation {
+	if f, ok := h.flightOf(organisation, id); ok {
 		if role, _ := f.Role(); role == persimflight.RoleOwner {
 			return f.Refuse(proto.CloneOf(refusal)), nil
 		}
@@ -200,7 +200,7 @@
 }
 
 func (h *host) acknowledge(ctx context.Context, organisation, id string) {
-	if f, err := h.flights.Get(id); err == nil && f.Organisation() == organisation {
+	if _, ok := h.flightOf(organisation, id); ok {
 		h.flights.Acknowledge(id)
 	}
 	_, _ = h.forwardAction(ctx, organisation, id, persimwire.PassAction_PASS_ACTION_ACKNOWLEDGE)
@@ -224,8 +224,8 @@
 
 func (p peerService) Pass(_ context.Context, req *connect.Request[persimwire.PassRequest]) (*connect.Response[persimwire.PassResponse], error) {
 	response := &persimwire.PassResponse{}
-	f, err := p.host.flights.Get(req.Msg.GetId())
-	if err != nil || f.Organisation() != req.Msg.GetOrganisation() {
+	f, ok := p.host.flightOf(req.Msg.GetOrganisation(), req.Msg.GetId())
+	if !ok {
 		return connect.NewResponse(response), nil
 	}
 	switch req.Msg.GetAction() {
--- a/relay.go
+++ b/relay.go
@@ -110,10 +110,18 @@
 	}
 }
 
+// flightOf returns a request of an organisation in any role of this host.
+func (h *host) flightOf(organisation, id string) (*persimflight.Flight, bool) {
+	f, err := h.flights.Get(id)
+	if err != nil || f.Organisation() != organisation {
+		return nil, false
+	}
+	return f, true
+}
+
 // relayOnce streams from this host if it owns the request, otherwise from the owner.
 func (h *host) relayOnce(ctx context.Context, organisation, id string, offset int, prefix []byte, send sendFunc) (*persimwire.Refusal, error) {
-	f, err := h.flights.Get(id)
-	if err == nil && f.Organisation() == organisation {
+	if f, ok := h.flightOf(organisation, id); ok {
 		role, movedTo := f.Role()
 		if role == persimflight.RoleOwner {
 			return h.relayOwned(ctx, f, offset, prefix, send)
@@ -277,8 +285,8 @@
 // the current owner responds. A replica with fewer tokens than the caller has
 // received is not continued.
 func (h *host) takeOver(ctx context.Context, organisation, id string, offset int) bool {
-	f, err := h.flights.Get(id)
-	if err != nil || f.Organisation() != organisation {
+	f, ok := h.flightOf(organisation, id)
+	if !ok {
 		return false
 	}
 	if role, _ := f.Role(); role != persimflight.RoleReplica {
@@ -325,9 +333,8 @@
 // the owner does not answer.
 func (h *host) findFlight(ctx context.Context, organisation, id string) (*persimwire.Flight, bool) {
 	var replica *persimwire.Flight
-	f, err := h.flights.Get(id)
 	movedTo := ""
-	if err == nil && f.Organisation() == organisation {
+	if f, ok := h.flightOf(organisation, id); ok {
 		role, destination := f.Role()
 		movedTo = destination
 		if role == persimflight.RoleOwner {
