Choose the rows of an exchange in one function

Cause: the sender and the receiver of an exchange each chose between all rows and those changed within exchangeOverlap. What: changesToSend does it for exchangeWith and for the handler Exchange.

--- a/exchange.go
+++ b/exchange.go
@@ -104,11 +104,7 @@
 // the exchange with all rows.
 func (h *host) exchangeWith(ctx context.Context, address string, full bool) error {
 	now := time.Now()
-	since := now.Add(-exchangeOverlap)
-	if full {
-		since = time.Time{}
-	}
-	delta := h.members.ChangedSince(since)
+	delta := h.changesToSend(now, full)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	resp, err := h.links.Client(address).Exchange(callCtx, connect.NewRequest(&persimwire.ExchangeRequest{
@@ -133,6 +129,14 @@
 	return nil
 }
 
+// changesToSend returns all rows if full is set, otherwise those changed recently.
+func (h *host) changesToSend(now time.Time, full bool) persimmember.Delta {
+	if full {
+		return h.members.ChangedSince(time.Time{})
+	}
+	return h.members.ChangedSince(now.Add(-exchangeOverlap))
+}
+
 // mergeDelta merges the rows of another host and reports whether any changed. If the
 // platform has not answered recently, this host may miss reclaim notices, so it also
 // moves the attempts off upstreams that have left.
--- a/peers.go
+++ b/peers.go
@@ -36,11 +36,7 @@
 	if row, ok := p.host.members.Host(msg.GetFrom()); ok {
 		p.host.followGeneration(ctx, row.GetAddress(), msg.GetGeneration())
 	}
-	since := now.Add(-exchangeOverlap)
-	if msg.GetFull() {
-		since = time.Time{}
-	}
-	delta := p.host.members.ChangedSince(since)
+	delta := p.host.changesToSend(now, msg.GetFull())
 	return connect.NewResponse(&persimwire.ExchangeResponse{
 		Hosts:      delta.Hosts,
 		Upstreams:  delta.Upstreams,
