Check callers of accepted requests in one function

Cause: Resume, Cancel, Status and Acknowledge each checked the token and then the identifier. What: checkOwnRequest does both in the same order.

--- a/callers.go
+++ b/callers.go
@@ -81,16 +81,22 @@
 }
 
 func (c callerService) Resume(ctx context.Context, req *connect.Request[persimwire.ResumeRequest], stream *connect.ServerStream[persimwire.StreamEvent]) error {
-	organisation, refusal := c.host.identities.organisation(req.Header())
+	organisation, refusal := c.checkOwnRequest(req.Header(), req.Msg.GetId(), req.Msg.GetOffset())
 	if refusal != nil {
 		return refusalError(refusal)
 	}
-	if refusal := checkID(req.Msg.GetId(), req.Msg.GetOffset()); refusal != nil {
-		return refusalError(refusal)
-	}
 	return c.relay(ctx, organisation, req.Msg, stream)
 }
 
+// checkOwnRequest returns the organisation of a caller that names an accepted request.
+func (c callerService) checkOwnRequest(header http.Header, id string, offset int64) (string, *persimwire.Refusal) {
+	organisation, refusal := c.host.identities.organisation(header)
+	if refusal != nil {
+		return "", refusal
+	}
+	return organisation, checkID(id, offset)
+}
+
 func checkID(id string, offset int64) *persimwire.Refusal {
 	if len(id) > maxIDBytes || hostsInID(id) == nil {
 		return notRunRefusal(persimwire.Reason_REASON_INVALID, "malformed request identifier")
@@ -240,13 +246,10 @@
 }
 
 func (c callerService) Cancel(ctx context.Context, req *connect.Request[persimwire.CancelRequest]) (*connect.Response[persimwire.CancelResponse], error) {
-	organisation, refusal := c.host.identities.organisation(req.Header())
+	organisation, refusal := c.checkOwnRequest(req.Header(), req.Msg.GetId(), 0)
 	if refusal != nil {
 		return nil, refusalError(refusal)
 	}
-	if refusal := checkID(req.Msg.GetId(), 0); refusal != nil {
-		return nil, refusalError(refusal)
-	}
 	cancelled, refusal := c.host.cancelRequest(ctx, organisation, req.Msg.GetId())
 	if refusal != nil {
 		return nil, refusalError(refusal)
@@ -255,13 +258,10 @@
 }
 
 func (c callerService) Status(ctx context.Context, req *connect.Request[persimwire.StatusRequest]) (*connect.Response[persimwire.StatusResponse], error) {
-	organisation, refusal := c.host.identities.organisation(req.Header())
+	organisation, refusal := c.checkOwnRequest(req.Header(), req.Msg.GetId(), 0)
 	if refusal != nil {
 		return nil, refusalError(refusal)
 	}
-	if refusal := checkID(req.Msg.GetId(), 0); refusal != nil {
-		return nil, refusalError(refusal)
-	}
 	status, refusal := c.host.status(ctx, organisation, req.Msg.GetId())
 	if refusal != nil {
 		return nil, refusalError(refusal)
@@ -270,13 +270,10 @@
 }
 
 func (c callerService) Acknowledge(ctx context.Context, req *connect.Request[persimwire.AcknowledgeRequest]) (*connect.Response[persimwire.AcknowledgeResponse], error) {
-	organisation, refusal := c.host.identities.organisation(req.Header())
+	organisation, refusal := c.checkOwnRequest(req.Header(), req.Msg.GetId(), 0)
 	if refusal != nil {
 		return nil, refusalError(refusal)
 	}
-	if refusal := checkID(req.Msg.GetId(), 0); refusal != nil {
-		return nil, refusalError(refusal)
-	}
 	c.host.acknowledge(ctx, organisation, req.Msg.GetId())
 	return connect.NewResponse(&persimwire.AcknowledgeResponse{}), nil
 }
