--- a/persimflight/flight.go
+++ b/persimflight/flight.go
@@ -158,7 +158,7 @@
 func (f *Flight) BeginAttempt(attempt int, upstream, stream string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.role != RoleOwner || IsFinalPhase(f.state.GetPhase()) {
+	if !f.isOpen() {
 		return false
 	}
 	f.state.Attempt = int32(attempt)
@@ -174,8 +174,7 @@
 func (f *Flight) Append(attempt, offset int, token string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	current := f.role == RoleOwner && int(f.state.GetAttempt()) == attempt
-	if !current || IsFinalPhase(f.state.GetPhase()) || offset != len(f.state.GetTokens()) {
+	if !f.isOpenFor(attempt) || offset != len(f.state.GetTokens()) {
 		return false
 	}
 	f.state.Tokens = append(f.state.Tokens, token)
@@ -188,8 +187,7 @@
 func (f *Flight) Finish(attempt, tokens int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	current := f.role == RoleOwner && int(f.state.GetAttempt()) == attempt
-	if !current || IsFinalPhase(f.state.GetPhase()) || tokens != len(f.state.GetTokens()) {
+	if !f.isOpenFor(attempt) || tokens != len(f.state.GetTokens()) {
 		return false
 	}
 	f.setFinalPhase(persimwire.Phase_PHASE_DONE)
@@ -201,7 +199,7 @@
 func (f *Flight) FinishCall(body []byte) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.role != RoleOwner || IsFinalPhase(f.state.GetPhase()) {
+	if !f.isOpen() {
 		return false
 	}
 	f.state.Answer = body
@@ -214,7 +212,7 @@
 func (f *Flight) Refuse(refusal *persimwire.Refusal) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.role != RoleOwner || IsFinalPhase(f.state.GetPhase()) {
+	if !f.isOpen() {
 		return false
 	}
 	f.state.Refusal = refusal
@@ -222,6 +220,16 @@
 	return true
 }
 
+// isOpen reports whether the host owns the request and the request has not ended.
+func (f *Flight) isOpen() bool {
+	return f.role == RoleOwner && !IsFinalPhase(f.state.GetPhase())
+}
+
+// isOpenFor reports whether the request is open and the attempt is its current one.
+func (f *Flight) isOpenFor(attempt int) bool {
+	return f.isOpen() && int(f.state.GetAttempt()) == attempt
+}
+
 func (f *Flight) setFinalPhase(phase persimwire.Phase) {
 	f.state.Phase = phase
 	f.endedAt = time.Now()
--- a/persimflight/replication.go
+++ b/persimflight/replication.go
@@ -33,10 +33,15 @@
 		return
 	}
 	f.replica = name
+	f.forgetConfirmations()
+	f.recordChange()
+}
+
+// forgetConfirmations records that the replica holder holds nothing of the request.
+func (f *Flight) forgetConfirmations() {
 	f.replicated = false
 	f.replicatedTokens = 0
 	f.replicatedFinal = false
-	f.recordChange()
 }
 
 // appendTo adds the changes that the holder lacks to the update: the complete state
@@ -87,9 +92,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if missing {
-		f.replicated = false
-		f.replicatedTokens = 0
-		f.replicatedFinal = false
+		f.forgetConfirmations()
 	}
 	f.markDirty()
 }
@@ -218,9 +221,7 @@
 	f.state.Owner = host
 	f.state.Path = append(f.state.Path, host)
 	f.replica = ""
-	f.replicated = false
-	f.replicatedTokens = 0
-	f.replicatedFinal = false
+	f.forgetConfirmations()
 	f.recordChange()
 	return true
 }
