Build the refusal of a key used with another body in one function

Cause: joinCall, answerFromRecordedClaim and confirmNotRun built the same refusal. What: otherBodyRefusal in refusal.go. Evidence: TestOrderKeyWithAnotherBody covers the first two by its coverage profile, no line of confirmNotRun's case; go vet, golangci-lint (0 issues), go test -race of the root package ok.

--- a/calls.go
+++ b/calls.go
@@ -222,7 +222,7 @@
 func (h *host) joinCall(ctx context.Context, f *persimflight.Flight, claim persimledger.Claim) (*persimwire.CallResponse, *persimwire.Refusal) {
 	state := f.State(time.Now())
 	if string(state.GetBody()) != string(claim.BodyHash[:]) {
-		return nil, notRunRefusal(persimwire.Reason_REASON_KEY, "the key was used with another body")
+		return nil, otherBodyRefusal()
 	}
 	var duplicate atomic.Bool
 	duplicate.Store(true)
@@ -367,7 +367,7 @@
 func (c *callRunner) answerFromRecordedClaim(ctx context.Context, recorded persimledger.Claim) {
 	defer c.host.flights.Drop(c.flight.ID())
 	if !recorded.SameBody(c.claim) {
-		c.flight.Refuse(notRunRefusal(persimwire.Reason_REASON_KEY, "the key was used with another body"))
+		c.flight.Refuse(otherBodyRefusal())
 		return
 	}
 	if state, ok := c.host.awaitRemoteCall(ctx, c.job.Organisation, recorded.RequestID); ok {
--- a/duplicates.go
+++ b/duplicates.go
@@ -23,7 +23,7 @@
 	case !found || recorded.ClaimantToken == c.claim.ClaimantToken:
 		return nil, refusal
 	case !recorded.SameBody(c.claim):
-		return nil, notRunRefusal(persimwire.Reason_REASON_KEY, "the key was used with another body")
+		return nil, otherBodyRefusal()
 	}
 	return c.fetchAnswer(ctx, organisation, recorded.RequestID, claimStateRefusal(recorded.State))
 }
--- a/refusal.go
+++ b/refusal.go
@@ -31,6 +31,11 @@
 	}
 }
 
+// otherBodyRefusal returns the refusal of a call whose key was used with another body.
+func otherBodyRefusal() *persimwire.Refusal {
+	return notRunRefusal(persimwire.Reason_REASON_KEY, "the key was used with another body")
+}
+
 func withRetryAfter(r *persimwire.Refusal, wait time.Duration) *persimwire.Refusal {
 	if wait > 0 {
 		r.RetryAfter = durationpb.New(wait)
