Look up the holder of a token in one function

Cause: organisation and operator were the same lookup in two maps. What: holderOf looks a token up in either map.

--- a/identity.go
+++ b/identity.go
@@ -36,18 +36,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func (ids identities) organisation(header http.Header) (string, *persimwire.Refusal) {
-	name, ok := ids.organisations[tokenDigest(header)]
+// holderOf returns the name of the holder of the token in a header.
+func holderOf(holders map[string]string, header http.Header) (string, *persimwire.Refusal) {
+	name, ok := holders[tokenDigest(header)]
 	if !ok {
 		return "", notRunRefusal(persimwire.Reason_REASON_UNAUTHENTICATED, "unknown token")
 	}
 	return name, nil
 }
 
+func (ids identities) organisation(header http.Header) (string, *persimwire.Refusal) {
+	return holderOf(ids.organisations, header)
+}
+
 func (ids identities) operator(header http.Header) (string, *persimwire.Refusal) {
-	name, ok := ids.operators[tokenDigest(header)]
-	if !ok {
-		return "", notRunRefusal(persimwire.Reason_REASON_UNAUTHENTICATED, "unknown token")
-	}
-	return name, nil
+	return holderOf(ids.operators, header)
 }
