--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -24,10 +25,14 @@
 	// metricsPort is the port of the metrics endpoint, as set in the deploy file.
 	metricsPort = 9464
 	// balancerLag is how long the load balancer may keep sending new connections after
-	// the host stops being ready: two health checks a second apart, plus one second.
-	balancerLag = 3 * time.Second
+	// the host stops being ready: two health checks a second apart, and some delay. Requests
+	// that come later than 3 s after the signal could not use the rest of the grace period.
+	balancerLag = 2800 * time.Millisecond
 	// exitMargin is the time reserved for the exit before the process is killed.
 	exitMargin = 700 * time.Millisecond
+	// abortTimeout is the part of exitMargin in which requests that are still in progress
+	// are answered with an error.
+	abortTimeout = 300 * time.Millisecond
 	// settingsPollInterval is how often the settings file is checked for changes
 	// without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -114,12 +119,8 @@
 }
 
 func startEntryServers(deployment persimsettings.Deployment, entry persimentry.Entry) (*entryServers, error) {
-	servers := &entryServers{callers: &http.Server{
-		ReadHeaderTimeout: entryHeaderTimeout,
-		MaxHeaderBytes:    entryMaxHeaderBytes,
-	}}
-	entry.ConfigureCallerServer(servers.callers)
-	if err := listenAndServe(deployment.CallerAddress, servers.callers); err != nil {
+	servers := &entryServers{callers: &http.Server{MaxHeaderBytes: entryMaxHeaderBytes}}
+	if err := listenAndServe(deployment.CallerAddress, servers.callers, entry.ServeCallers); err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
@@ -127,19 +128,20 @@
 	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: entryHeaderTimeout}
 	ready := &http.Server{Handler: entry.ReadyHandler(), ReadHeaderTimeout: entryHeaderTimeout}
 	servers.internal = []*http.Server{ready, metrics}
-	if err := listenAndServe(deployment.ReadyAddress, ready); err != nil {
+	if err := listenAndServe(deployment.ReadyAddress, ready, (*http.Server).Serve); err != nil {
 		return nil, err
 	}
-	return servers, listenAndServe(net.JoinHostPort(deployment.IP, strconv.Itoa(metricsPort)), metrics)
+	return servers, listenAndServe(net.JoinHostPort(deployment.IP, strconv.Itoa(metricsPort)), metrics, (*http.Server).Serve)
 }
 
-func listenAndServe(address string, server *http.Server) error {
+// listenAndServe listens on an address and lets serve handle its connections.
+func listenAndServe(address string, server *http.Server, serve func(*http.Server, net.Listener) error) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	go func() {
-		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		if err := serve(server, listener); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(nil, "listener ended", "address", address, "error", persimlog.ErrorText(err))
 		}
 	}()
@@ -148,7 +150,7 @@
 
 // stopEntry keeps serving while the load balancer may still send new connections, then
 // waits for the requests in progress, at most until exitMargin before the end of the
-// grace period.
+// grace period. Those that remain are ended with an error.
 func stopEntry(ctx context.Context, entry persimentry.Entry, servers *entryServers, deployment persimsettings.Deployment) {
 	start := time.Now()
 	klog.InfoS("stop", "inFlight", entry.InFlight())
@@ -160,15 +162,26 @@
 	deadline := start.Add(deployment.Bounds.ShutdownGrace - exitMargin)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if err := servers.callers.Shutdown(drainCtx); err != nil {
-		klog.InfoS("stop: requests are cut off", "inFlight", entry.InFlight(), "error", persimlog.ErrorText(err))
+	if err := entry.Drain(drainCtx); err != nil {
+		klog.InfoS("stop: requests are ended", "inFlight", entry.InFlight(), "error", persimlog.ErrorText(err))
+		abortRequests(ctx, entry)
 	}
-	for _, server := range servers.internal {
+	for _, server := range append(servers.internal, servers.callers) {
 		_ = server.Close()
 	}
 	klog.InfoS("stopped", "took", time.Since(start))
 }
 
+// abortRequests ends the requests in progress and waits until their callers are answered.
+func abortRequests(ctx context.Context, entry persimentry.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, abortTimeout)
+	defer cancel()
+	entry.AbortRequests()
+	if err := entry.Drain(ctx); err != nil {
+		klog.InfoS("stop: connections are cut off", "inFlight", entry.InFlight(), "error", persimlog.ErrorText(err))
+	}
+}
+
 func reloadSettings(path string) {
 	deployment, err := readDeployment(path)
 	if err != nil {
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -50,8 +51,8 @@
 type Entry interface {
 	// Run runs the background loops until the context ends.
 	Run(ctx context.Context) error
-	// ConfigureCallerServer configures a server to handle the requests of callers.
-	ConfigureCallerServer(server *http.Server)
+	// ServeCallers lets a server serve callers on a listener until the listener is closed.
+	ServeCallers(server *http.Server, listener net.Listener) error
 	// ReadyHandler returns the handler for the load balancer's readiness probes.
 	ReadyHandler() http.Handler
 	// MetricsHandler returns the handler that serves the metrics.
@@ -61,6 +62,12 @@
 	BeginDrain()
 	// ReleaseLease releases the lease, so that another host can acquire it.
 	ReleaseLease(ctx context.Context)
+	// Drain accepts no more connections of callers and closes each one once it has no request
+	// in progress. It returns when none is left, or the context's error if that ends first.
+	Drain(ctx context.Context) error
+	// AbortRequests ends all requests in progress: those whose response has not begun are
+	// answered with an error, the others are broken off.
+	AbortRequests()
 	// InFlight returns the number of requests in progress.
 	InFlight() int
 }
@@ -149,10 +156,16 @@
 	c.usage.Count(at, organisation)
 }
 
-func (e *entry) ConfigureCallerServer(server *http.Server) { e.front.ConfigureServer(server) }
+func (e *entry) ServeCallers(server *http.Server, listener net.Listener) error {
+	return e.front.Serve(server, listener)
+}
 
 func (e *entry) MetricsHandler() http.Handler { return e.metrics.Handler() }
 
+func (e *entry) Drain(ctx context.Context) error { return e.front.Drain(ctx) }
+
+func (e *entry) AbortRequests() { e.front.AbortRequests() }
+
 func (e *entry) InFlight() int { return e.front.InFlight() }
 
 func (e *entry) ReadyHandler() http.Handler {
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -70,8 +70,10 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	f.headerReceived(r)
 	c := &call{front: f, id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(), request: r, requestTarget: r.RequestURI}
+	if !beginServing(r) {
+		c.abortResponse(c.leftCause())
+	}
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -82,6 +84,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(f.aborted, cancel)()
 	c.forward(ctx, w)
 }
 
@@ -277,6 +280,11 @@
 	}
 	header.Set("Content-Length", "0")
 	w.WriteHeader(r.status)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		klog.InfoS("refusal not sent", "request", c.id, "status", r.status, "cause", r.cause, "error", persimlog.ErrorText(err))
+		c.record(0, c.leftCause())
+		return
+	}
 	c.record(r.status, r.cause)
 }
 
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -4,6 +4,8 @@
 package persimfront
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -56,11 +58,17 @@
 	// AssumeSpeeds takes over the speeds of engines that another host has learned, by
 	// service, where this host has not learned them.
 	AssumeSpeeds(demand map[string]Demand)
-	// ConfigureServer sets the server's handler and connection hooks, so that it serves
-	// callers within the limits of the current configuration.
-	ConfigureServer(server *http.Server)
+	// Serve lets a server serve callers on a listener, within the limits of the current
+	// configuration, until the listener is closed.
+	Serve(server *http.Server, listener net.Listener) error
 	// DisableKeepAlives adds "Connection: close" to the responses of all later requests.
 	DisableKeepAlives()
+	// Drain accepts no more connections of callers and closes each one once it has no request
+	// in progress. It returns when none is left, or the context's error if that ends first.
+	Drain(ctx context.Context) error
+	// AbortRequests ends all requests in progress: those whose response has not begun are
+	// answered with an error, the others are broken off.
+	AbortRequests()
 	// InFlight returns the number of requests in progress.
 	InFlight() int
 }
@@ -125,9 +133,12 @@
 	inFlight           atomic.Int64
 	// heldBodyBytes is the size of all request bodies in memory.
 	heldBodyBytes atomic.Int64
-	// connTimeouts covers the connections of the servers that ConfigureServer was called
-	// with.
-	connTimeouts *connTimeouts
+
+	callerConns *callerConns
+
+	// aborted ends when AbortRequests is called.
+	aborted context.Context
+	abort   context.CancelFunc
 
 	mu         sync.Mutex
 	dispatcher *dispatcher
@@ -141,7 +152,8 @@
 		opt(&c)
 	}
 	f := &front{config: c, dispatcher: newDispatcher(c.bounds)}
-	f.connTimeouts = newConnTimeouts(f.limits)
+	f.callerConns = newCallerConns(f.limits)
+	f.aborted, f.abort = context.WithCancel(context.Background())
 	return f
 }
 
@@ -246,4 +258,6 @@
 
 func (f *front) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
+func (f *front) AbortRequests() { f.abort() }
+
 func (f *front) InFlight() int { return int(f.inFlight.Load()) }
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -42,13 +42,15 @@
 	body   []byte
 }
 
-func (r *bufferedResponse) write(w http.ResponseWriter) {
+// write sends the response to the caller. It returns an error if it could not be sent.
+func (r *bufferedResponse) write(w http.ResponseWriter) error {
 	copyHeader(w.Header(), r.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	w.WriteHeader(r.status)
 	if _, err := w.Write(r.body); err != nil {
-		klog.V(1).InfoS("answer: caller does not take it", "error", persimlog.ErrorText(err))
+		return err
 	}
+	return http.NewResponseController(w).Flush()
 }
 
 // copyHeader copies the header fields that are forwarded to the caller and keeps the
@@ -73,7 +75,7 @@
 	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedBytes+1))
 	if err != nil {
 		exchange.Abandon()
-		a.finish(a.breakOutcome(ctx))
+		a.recordBreak(ctx, "response broke off", 0, err)
 		return resultUnknown, nil, "answer broke off"
 	}
 	if len(body) > maxBufferedBytes {
@@ -84,15 +86,6 @@
 	return a.deliver(w, buffered)
 }
 
-// breakOutcome returns the outcome of an attempt whose response broke off. It is the
-// upstream's failure unless the deadline has passed or the caller has gone.
-func (a *attempt) breakOutcome(ctx context.Context) persimplace.Outcome {
-	if ctx.Err() != nil {
-		return persimplace.OutcomeNeutral
-	}
-	return persimplace.OutcomeFailed
-}
-
 // deliver sends a buffered response to the caller. It returns a server error instead
 // of sending it, since the request may be retried, and drops a status that implies
 // that the request did not run, since it may have run.
@@ -106,11 +99,21 @@
 		return resultErrorResponse, response, "upstream failed"
 	}
 	a.finish(persimplace.OutcomeSuccess)
-	response.write(w)
-	a.record(response.status, outcomeOK)
+	a.send(w, response, outcomeOK)
 	return resultDone, nil, ""
 }
 
+// send sends a buffered response to the caller and records its status, or 0 if the caller
+// did not get it.
+func (c *call) send(w http.ResponseWriter, response *bufferedResponse, cause string) {
+	if err := response.write(w); err != nil {
+		klog.InfoS("response not sent", "request", c.id, "status", response.status, "error", persimlog.ErrorText(err))
+		c.record(0, c.leftCause())
+		return
+	}
+	c.record(response.status, cause)
+}
+
 // impliesNotRun reports whether a status tells the caller that the request did not
 // run.
 func impliesNotRun(status int) bool {
@@ -167,16 +170,21 @@
 		header:  exchange.Response.Header,
 		status:  exchange.Response.StatusCode,
 	}
+	writer.source(exchange)
 	err := writer.copy(exchange)
-	for err != nil && ctx.Err() == nil && !writer.callerGone && a.route.Resumable {
+	for err != nil {
 		exchange.Abandon()
-		a.finish(persimplace.OutcomeFailed)
+		a.recordBreak(ctx, "stream broke off", writer.events, err)
+		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable {
+			break
+		}
 		resumed := a.resume(ctx, writer.lastID)
 		if resumed == nil {
 			break
 		}
 		exchange = resumed
 		writer.resumed = true
+		writer.source(exchange)
 		err = writer.copy(exchange)
 	}
 	if err == nil {
@@ -186,8 +194,6 @@
 		a.record(writer.status, outcomeOK)
 		return resultDone, nil, ""
 	}
-	exchange.Abandon()
-	a.finish(a.breakOutcome(ctx))
 	if !writer.headerWritten && a.request.Context().Err() == nil {
 		return resultUnknown, nil, "stream broke off before its first event"
 	}
@@ -213,9 +219,9 @@
 func (a *attempt) abortCause(ctx context.Context, writer *eventWriter) string {
 	switch {
 	case writer.callerGone || a.request.Context().Err() != nil:
-		return "caller left"
+		return a.leftCause()
 	case ctx.Err() != nil:
-		return "time is over"
+		return a.endCause()
 	default:
 		return "stream broke off"
 	}
@@ -249,12 +255,14 @@
 	}
 	exchange, err := persimconn.Send(ctx, conn, req)
 	if err != nil {
+		a.recordBreak(ctx, "connection broke", 0, err)
 		return nil
 	}
 	header := exchange.Response.Header
 	if exchange.Response.StatusCode != http.StatusOK || header.Get(platform.HeaderSignature) == "" ||
 		header.Get(platform.HeaderRequestID) != a.id {
 		exchange.Abandon()
+		a.finish(persimplace.OutcomeFailed)
 		return nil
 	}
 	klog.InfoS("stream resumed", "request", a.id, "upstream", choice.Upstream.ID, "after", lastID)
@@ -278,11 +286,25 @@
 	firstAt, lastAt time.Time
 	// resumed is set once another upstream has continued the stream.
 	resumed bool
+	// framed is set if the upstream marks the end of the stream, which otherwise ends with
+	// its connection, eventsOnly if the stream consists of whole events.
+	framed     bool
+	eventsOnly bool
+}
+
+const eventStreamType = "text/event-stream"
+
+// source prepares the writer for the response of an upstream.
+func (e *eventWriter) source(exchange *persimconn.Exchange) {
+	e.framed = exchange.Framed()
+	e.eventsOnly = !e.framed || strings.HasPrefix(exchange.Response.Header.Get("Content-Type"), eventStreamType)
 }
 
 var (
-	errCallerGone   = errors.New("front: write to caller failed")
-	errEventTooLong = errors.New("front: event of upstream too long")
+	errCallerGone      = errors.New("front: write to caller failed")
+	errEventTooLong    = errors.New("front: event of upstream too long")
+	errEndsInsideEvent = errors.New("front: stream ends inside an event")
+	errEndsAtOnce      = errors.New("front: connection ends before the first event")
 )
 
 // copy writes events to the caller until the stream ends. It returns an error if the
@@ -302,9 +324,6 @@
 		if end := completeEvents(buffer[scanned:]); end > 0 {
 			complete = scanned + end
 		}
-		if errors.Is(err, io.EOF) {
-			complete = len(buffer)
-		}
 		if complete > 0 {
 			if errWrite := e.write(buffer[:complete]); errWrite != nil {
 				return errWrite
@@ -312,8 +331,7 @@
 			buffer = append(buffer[:0], buffer[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			e.writeHeader()
-			return nil
+			return e.end(buffer)
 		}
 		if err != nil {
 			return err
@@ -321,6 +339,18 @@
 	}
 }
 
+// end ends the stream after its last bytes, which belong to no complete event. It returns an
+// error if the stream was broken off.
+func (e *eventWriter) end(rest []byte) error {
+	if len(rest) > 0 && e.eventsOnly {
+		return errEndsInsideEvent
+	}
+	if !e.framed && e.events == 0 {
+		return errEndsAtOnce
+	}
+	return e.write(rest)
+}
+
 // The blank lines that end an event.
 const (
 	eventEnd        = "\n\n"
