Soak: a prompt part that crashes each upstream which begins to answer a request with it

Cause: no test from outside covers requests that crash every upstream they reach; the hosts have no protection yet, it is being built.

What: streams carry a prompt: a part that all share, one of 32, and their own last part. The event kind poison makes one more part deadly for at least 24 s, during which 4 % of the streams hold it. An upstream that begins to answer such a request resets its connections, refuses new ones and is replaced after 1 to 3 s. The period is longer than that of the other events, since the checks need crashes, two contact bounds (4 s each) and hosts without faults. The flag -poison adds the event to each plan; poisonInterval, zero now, keeps it out of random plans until hosts have the protection. The other events of a seed stay as they are (TestPoisonLeavesTheOtherEventsOfAPlan).

Checks, violations at once: at most 3 requests with the part reach upstreams later than the contact bound after its fifth crash, by hosts without faults; from two bounds on sound streams are served half as often as outside all faults. Requests with the part owe no served share. An upstream that crashes after it was replaced is no longer replaced twice.

Unit tests show both checks fail and pass at their limits.

--- a/persimsoak/caller.go
+++ b/persimsoak/caller.go
@@ -48,6 +48,10 @@
 	hostIndex   int
 	key         string
 	requestBody []byte
+	// prompt holds the header fields of the prompt of a stream. deadly is set if a part of
+	// it is deadly.
+	prompt string
+	deadly bool
 	// idle is how long the connection had been idle before the request.
 	idle time.Duration
 	// sent is when the last byte was sent, ended when the response or the connection ended.
@@ -168,6 +172,7 @@
 		o.requestBody = bytes.Repeat([]byte(o.id), 1+c.random.IntN(60))
 	case 5, 6:
 		o.path, method = persimstand.StreamPath, http.MethodPost
+		c.addPrompt(&o)
 	default:
 		o.path = toggledPath
 	}
@@ -175,12 +180,25 @@
 	return o, method
 }
 
+// addPrompt adds a prompt, sometimes with the deadly part.
+func (c *caller) addPrompt(o *outcome) {
+	o.deadly = c.random.IntN(deadlyInterval) == 0 && c.system.upstreams.poison.isDeadly()
+	parts := fmt.Sprintf("%x:%d,%x:%d", sharedPart, sharedTokens, firstGroup+c.random.IntN(groupCount), groupTokens)
+	tokens := sharedTokens + groupTokens + ownTokens
+	if o.deadly {
+		parts += fmt.Sprintf(",%x:%d", deadlyPart, deadlyTokens)
+		tokens += deadlyTokens
+	}
+	o.prompt = fmt.Sprintf("%s: %d,%d\r\n%s: %s,%x:%d\r\n", platform.HeaderTokenCount, tokens, outputTokens,
+		platform.HeaderPrefixHash, parts, c.random.Uint64(), ownTokens)
+}
+
 func (c *caller) roundTrip() outcome {
 	o, method := c.newRequest()
 	_ = c.conn.SetDeadline(time.Now().Add(callerTimeout))
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n%s\r\n%s",
 		method, o.path, hostName, platform.HeaderRequestID, o.id, platform.HeaderAPIKey, o.key,
-		platform.HeaderTimeLeft, requestTimeout.Milliseconds(), len(o.requestBody), o.requestBody)
+		platform.HeaderTimeLeft, requestTimeout.Milliseconds(), len(o.requestBody), o.prompt, o.requestBody)
 	o.sent = time.Now()
 	if err == nil {
 		err = c.readResponse(&o)
--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -37,6 +37,8 @@
 	KindReroute Kind = "reroute"
 	// KindIdleTimeout sets the idle timeout; Target is an index of idleTimeouts.
 	KindIdleTimeout Kind = "idle-timeout"
+	// KindPoison makes a part of prompts deadly for upstreams.
+	KindPoison Kind = "poison"
 )
 
 var (
@@ -97,6 +99,13 @@
 	// idleChangeStream is the random stream for events of KindIdleTimeout. The other
 	// events of a seed do not depend on it.
 	idleChangeStream = 1 << 32
+	// poisonStream is that for an event of KindPoison.
+	poisonStream = 1<<32 + 1
+	// poisonInterval draws an event of KindPoison for one seed in so many; zero draws none.
+	// It is zero until hosts keep deadly requests from upstreams.
+	poisonInterval    = 0
+	minPoisonDuration = 24 * time.Second
+	maxPoisonDelay    = time.Second
 )
 
 // NewPlan derives a plan from a seed. If hosts is zero, the seed also determines the
@@ -113,10 +122,28 @@
 		p.addEvents(random, at)
 	}
 	p.addIdleChanges(rand.New(rand.NewPCG(seed, idleChangeStream)))
-	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+	if poisonInterval > 0 && seed%max(1, poisonInterval) == 0 {
+		p.AddPoison()
+	}
+	p.sortEvents()
 	return p
 }
 
+func (p *Plan) sortEvents() {
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+}
+
+// AddPoison adds an event of KindPoison unless there is one.
+func (p *Plan) AddPoison() {
+	if slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == KindPoison }) {
+		return
+	}
+	random := rand.New(rand.NewPCG(p.Seed, poisonStream))
+	at := firstEventAt + time.Duration(random.Int64N(int64(maxPoisonDelay)))
+	p.Events = append(p.Events, Event{Kind: KindPoison, At: at, Duration: max(minPoisonDuration, p.Duration)})
+	p.sortEvents()
+}
+
 // addEvents adds a random event other than a change of the idle timeout, or a series of
 // them.
 func (p *Plan) addEvents(random *rand.Rand, at time.Duration) {
--- a/persimsoak/system.go
+++ b/persimsoak/system.go
@@ -47,8 +47,9 @@
 func Run(ctx context.Context, plan Plan, program, logDir string) (Report, error) {
 	s := &system{plan: plan, store: persimstand.NewStore()}
 	s.operator = newOperator(s.store)
-	s.upstreams = newUpstreams(s.store)
+	s.upstreams = newUpstreams(s.store, plan.Seed)
 	s.checker = newChecker(s)
+	s.upstreams.onError = s.checker.recordError
 	loopback, release, err := claimNetwork()
 	if err != nil {
 		return Report{}, err
@@ -162,6 +163,9 @@
 		s.checker.recordError(s.operator.toggleRoute())
 	case KindIdleTimeout:
 		s.checker.recordError(s.operator.setIdleTimeout(idleTimeouts[event.Target%len(idleTimeouts)]))
+	case KindPoison:
+		defer s.upstreams.poison.begin()()
+		time.Sleep(event.Duration)
 	default:
 		s.checker.recordError(s.upstreams.applyEvent(event))
 	}
--- a/persimsoak/upstream.go
+++ b/persimsoak/upstream.go
@@ -55,16 +55,20 @@
 	cleanups []func()
 }
 
-func newUpstream(id string, executions *executionLog) (*upstream, error) {
+// newUpstream starts an upstream. It calls onRun when it has recorded an execution and is
+// about to answer it.
+func newUpstream(id string, executions *executionLog, onRun func(*upstream, *http.Request)) (*upstream, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	started := &upstream{id: id}
 	handler := persimstand.NewUpstream(id, func(request string, r *http.Request) {
 		executions.record(request, execution{
 			at: time.Now(), upstream: id, path: r.URL.Path,
 			organisation: r.Header.Get(platform.HeaderOrganisation), key: r.Header.Get(platform.HeaderAPIKey),
 		})
+		onRun(started, r)
 		if strings.HasSuffix(request, slowSuffix) && !strings.HasPrefix(r.URL.Path, persimstand.StreamPath) {
 			time.Sleep(slowRunTime)
 		}
@@ -72,7 +76,8 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
 	proxy, closeProxy, err := newProxy(listener.Addr().String())
-	return &upstream{id: id, proxy: proxy, cleanups: []func(){closeProxy, func() { _ = server.Close() }}}, err
+	started.proxy, started.cleanups = proxy, []func(){closeProxy, func() { _ = server.Close() }}
+	return started, err
 }
 
 func (u *upstream) close() {
