--- a/duplicates.go
+++ b/duplicates.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"persimmonport.example/persimflight"
 	"persimmonport.example/persimledger"
 	"persimmonport.example/persimwire"
 )
@@ -22,7 +23,7 @@
 	case !found || recorded.ClaimantToken == c.claim.ClaimantToken:
 		return nil, refusal
 	case !recorded.SameBody(c.claim):
-		return nil, notRunRefusal(persimwire.Reason_REASON_KEY, "the key was used with another body")
+		return nil, otherBodyRefusal()
 	}
 	return c.fetchAnswer(ctx, organisation, recorded.RequestID, claimStateRefusal(recorded.State))
 }
@@ -74,7 +75,7 @@
 		if !ok {
 			return nil, false
 		}
-		if isOver(state.GetPhase()) {
+		if persimflight.IsFinalPhase(state.GetPhase()) {
 			return state, true
 		}
 		if !h.ownerResponds(ctx, state) && state.GetOwner() != h.name() {
--- a/peers.go
+++ b/peers.go
@@ -10,13 +10,11 @@
 
 	"persimmonport.example/persimflight"
 	"persimmonport.example/persimmember"
+	"persimmonport.example/persimpeer"
 	"persimmonport.example/persimprofile"
 	"persimmonport.example/persimwire"
 )
 
-// MaxPeerMessageBytes is the maximum size of a message from another host.
-const MaxPeerMessageBytes = 8 << 20
-
 // peerService implements the API for other entry hosts.
 type peerService struct {
 	host *host
@@ -24,7 +22,7 @@
 
 func (h *host) Peers() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(persimwire.NewPeerServiceHandler(peerService{h}, connect.WithReadMaxBytes(MaxPeerMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
+	mux.Handle(persimwire.NewPeerServiceHandler(peerService{h}, connect.WithReadMaxBytes(persimpeer.MaxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
 	return mux
 }
 
@@ -38,11 +36,7 @@
 	if row, ok := p.host.members.Host(msg.GetFrom()); ok {
 		p.host.followGeneration(ctx, row.GetAddress(), msg.GetGeneration())
 	}
-	since := now.Add(-exchangeOverlap)
-	if msg.GetFull() {
-		since = time.Time{}
-	}
-	delta := p.host.members.ChangedSince(since)
+	delta := p.host.changesToSend(now, msg.GetFull())
 	return connect.NewResponse(&persimwire.ExchangeResponse{
 		Hosts:      delta.Hosts,
 		Upstreams:  delta.Upstreams,
@@ -81,8 +75,8 @@
 
 func (p peerService) Locate(_ context.Context, req *connect.Request[persimwire.LocateRequest]) (*connect.Response[persimwire.LocateResponse], error) {
 	response := &persimwire.LocateResponse{}
-	f, err := p.host.flights.Get(req.Msg.GetId())
-	if err != nil || f.Organisation() != req.Msg.GetOrganisation() {
+	f, ok := p.host.flightOf(req.Msg.GetOrganisation(), req.Msg.GetId())
+	if !ok {
 		return connect.NewResponse(response), nil
 	}
 	role, movedTo := f.Role()
@@ -97,8 +91,8 @@
 
 func (p peerService) Follow(ctx context.Context, req *connect.Request[persimwire.FollowRequest], stream *connect.ServerStream[persimwire.StreamEvent]) error {
 	msg := req.Msg
-	f, err := p.host.flights.Get(msg.GetId())
-	if err != nil || f.Organisation() != msg.GetOrganisation() {
+	f, ok := p.host.flightOf(msg.GetOrganisation(), msg.GetId())
+	if !ok {
 		return refusalError(unknownOutcomeRefusal(persimwire.Reason_REASON_NOT_FOUND, "unknown request"))
 	}
 	if role, _ := f.Role(); role != persimflight.RoleOwner {
@@ -193,7 +187,7 @@
 // cancelRequest cancels a request on the host that owns it.
 func (h *host) cancelRequest(ctx context.Context, organisation, id string) (bool, *persimwire.Refusal) {
 	refusal := unknownOutcomeRefusal(persimwire.Reason_REASON_CANCELLED, "cancelled by the caller")
-	if f, err := h.flights.Get(id); err == nil && f.Organisation() == organisation {
+	if f, ok := h.flightOf(organisation, id); ok {
 		if role, _ := f.Role(); role == persimflight.RoleOwner {
 			return f.Refuse(proto.CloneOf(refusal)), nil
 		}
@@ -202,7 +196,7 @@
 }
 
 func (h *host) acknowledge(ctx context.Context, organisation, id string) {
-	if f, err := h.flights.Get(id); err == nil && f.Organisation() == organisation {
+	if _, ok := h.flightOf(organisation, id); ok {
 		h.flights.Acknowledge(id)
 	}
 	_, _ = h.forwardAction(ctx, organisation, id, persimwire.PassAction_PASS_ACTION_ACKNOWLEDGE)
@@ -226,8 +220,8 @@
 
 func (p peerService) Pass(_ context.Context, req *connect.Request[persimwire.PassRequest]) (*connect.Response[persimwire.PassResponse], error) {
 	response := &persimwire.PassResponse{}
-	f, err := p.host.flights.Get(req.Msg.GetId())
-	if err != nil || f.Organisation() != req.Msg.GetOrganisation() {
+	f, ok := p.host.flightOf(req.Msg.GetOrganisation(), req.Msg.GetId())
+	if !ok {
 		return connect.NewResponse(response), nil
 	}
 	switch req.Msg.GetAction() {
--- a/persimflight/replication.go
+++ b/persimflight/replication.go
@@ -33,10 +33,15 @@
 		return
 	}
 	f.replica = name
+	f.forgetConfirmations()
+	f.recordChange()
+}
+
+// forgetConfirmations records that the replica holder holds nothing of the request.
+func (f *Flight) forgetConfirmations() {
 	f.replicated = false
 	f.replicatedTokens = 0
 	f.replicatedFinal = false
-	f.recordChange()
 }
 
 // appendTo adds the changes that the holder lacks to the update: the complete state
@@ -50,7 +55,7 @@
 	}
 	f.dirty = false
 	tokens := f.state.GetTokens()
-	update.sentStates[f.id] = sentState{tokens: len(tokens), isFinal: isFinalPhase(f.state.GetPhase())}
+	update.sentStates[f.id] = sentState{tokens: len(tokens), isFinal: IsFinalPhase(f.state.GetPhase())}
 	if !f.replicated {
 		update.Flights = append(update.Flights, f.snapshot(now))
 		return
@@ -87,8 +92,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if missing {
-		f.replicated = false
-		f.replicatedTokens = 0
+		f.forgetConfirmations()
 	}
 	f.markDirty()
 }
@@ -167,7 +171,7 @@
 	f.state.Stream = p.GetStream()
 	f.state.Answer = p.GetAnswer()
 	f.state.Refusal = p.GetRefusal()
-	if isFinalPhase(p.GetPhase()) {
+	if IsFinalPhase(p.GetPhase()) {
 		f.endedAt = time.Now()
 	}
 	f.wakeWaiters()
@@ -193,7 +197,7 @@
 	f.state = proto.CloneOf(state)
 	f.deadline = now.Add(state.GetRemaining().AsDuration())
 	f.releasedTokens = len(state.GetTokens())
-	if isFinalPhase(state.GetPhase()) {
+	if IsFinalPhase(state.GetPhase()) {
 		f.endedAt = now
 	}
 	f.wakeWaiters()
@@ -217,9 +221,7 @@
 	f.state.Owner = host
 	f.state.Path = append(f.state.Path, host)
 	f.replica = ""
-	f.replicated = false
-	f.replicatedTokens = 0
-	f.replicatedFinal = false
+	f.forgetConfirmations()
 	f.recordChange()
 	return true
 }
