--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -96,6 +96,7 @@
 	callersPerHost = 4
 	// An unhurried caller sends few requests.
 	unhurriedCallersPerHost = 24
+	maxUnhurriedCallers     = 5 * unhurriedCallersPerHost
 	// idleChangeStream is the random stream for events of KindIdleTimeout. The other
 	// events of a seed do not depend on it.
 	idleChangeStream = 1 << 32
@@ -117,7 +118,7 @@
 		p.Hosts = hosts
 		p.Upstreams += hosts
 	}
-	p.Callers, p.UnhurriedCallers = callersPerHost*p.Hosts, unhurriedCallersPerHost*p.Hosts
+	p.Callers, p.UnhurriedCallers = callersPerHost*p.Hosts, min(unhurriedCallersPerHost*p.Hosts, maxUnhurriedCallers)
 	for at := firstEventAt; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanEventInterval)) {
 		p.addEvents(random, at)
 	}
