--- a/persimsoak/soak_test.go
+++ b/persimsoak/soak_test.go
@@ -20,6 +20,7 @@
 	randomPlans  = flag.Int("fresh", 0, "run `N` plans with random seeds")
 	firstSeed    = flag.Uint64("first", 0, "run the plan of `SEED`; with -fresh N, the N plans from this seed on")
 	hostCount    = flag.Int("hosts", 0, "run `N` hosts in each plan; 0 takes the number from the seed")
+	addPoison    = flag.Bool("poison", false, "add an event that makes a part of prompts deadly to each plan")
 	planDuration = flag.Duration("length", defaultLength, "inject events for `TIME`")
 )
 
@@ -40,16 +41,23 @@
 	return program
 }
 
-// runPlan runs one plan and keeps the logs if a guarantee was violated.
+// runPlan runs one plan and keeps the logs if a guarantee was violated, tolerated or not.
 func runPlan(t *testing.T, program string, plan Plan) {
 	t.Helper()
 	logDir, err := os.MkdirTemp("", "soak-"+strconv.FormatUint(plan.Seed, 10)+"-")
 	require.NoError(t, err)
 	report, err := Run(t.Context(), plan, program, logDir)
 	require.NoError(t, err)
-	t.Logf("seed %d: %d hosts, %d upstreams, %d events, %d requests, %d served, %d refused, %d violations",
-		plan.Seed, plan.Hosts, plan.Upstreams, len(plan.Events), report.Requests, report.Served, report.Refused, len(report.Violations))
-	if len(report.Violations) == 0 {
+	t.Logf("seed %d: %d hosts, %d upstreams, %d events, %d requests, %d served, %d refused, %d after a long idle time, %d tolerated, %d violations",
+		plan.Seed, plan.Hosts, plan.Upstreams, len(plan.Events), report.Requests, report.Served, report.Refused,
+		report.AfterIdle, len(report.Tolerated), len(report.Violations))
+	if report.Poison != "" {
+		t.Log("poison:", report.Poison)
+	}
+	for _, tolerated := range report.Tolerated {
+		t.Log("tolerated:", tolerated)
+	}
+	if len(report.Violations)+len(report.Tolerated) == 0 {
 		require.NoError(t, os.RemoveAll(logDir))
 		return
 	}
@@ -83,7 +91,13 @@
 func TestSoak(t *testing.T) {
 	program := buildProgram(t)
 	for _, seed := range seeds(t) {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runPlan(t, program, NewPlan(seed, *hostCount, *planDuration)) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			plan := NewPlan(seed, *hostCount, *planDuration)
+			if *addPoison {
+				plan.AddPoison()
+			}
+			runPlan(t, program, plan)
+		})
 	}
 }
 
