--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,13 @@
 format:
 	$(GO) run $(LINTER) fmt $(MODULES)
 
-# Every test with the race detector, and the policies' measures without it.
+# Every test with the race detector; the policies' measures and the largest simulation
+# of persimquarantine without it.
 test: lint
 	$(GO) vet $(MODULES)
 	$(GO) test -race -skip '$(KNOWN_RED)' $(MODULES)
 	$(GO) test ./persimbench/...
+	$(GO) test -skip '$(KNOWN_RED)' ./persimquarantine/...
 	@cat KNOWN-RED.txt
 
 # The policies' measures, and the cost of an entry host in a real deployment.
--- /dev/null
+++ b/persimquarantine/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package persimquarantine
+
+func init() { raceDetector = true }
