Requests with a prompt part that crashes upstreams are refused at all hosts

Cause: hosts judged upstreams by their responses, never requests by what they do to upstreams; so every host sent the next request of that kind to the next upstream.

Change: a break of a response is followed by a check whether the upstream refuses connections; if so, the parts of the unanswered prompts are evidence for persimquarantine. Evidence travels with the exchange of hosts, both ways and through hubs. A request with a quarantined part is refused at once with 503 and the true time, also before a retry or a resumed stream; one whose response had begun when its upstream crashed isn't sent to another.

Evidence: four cases of TestRequestsThatCrashUpstreamsAreRefused failed before (502 in place of 503, crashes without end) and pass now; TestRequestThatCrashedItsUpstreamIsNotSentToAnother, TestLostResponsesAreNoCrashes and TestCrashesReachAllHosts (mesh, hubs, a restarted host) pass.

--- a/persimentry/hub_test.go
+++ b/persimentry/hub_test.go
@@ -146,6 +146,7 @@
 		d.putCatalogue(3, `"key"`, "")
 		d.eventually(propagationBound, d.allReturn("/n/", "key", http.StatusNotFound), "the removed route")
 	})
+	t.Run("crashes reach all hosts", func(*testing.T) { d.requireQuarantineEverywhere() })
 	t.Run("usage is reported whole", func(t *testing.T) {
 		// Earlier windows: TestUsageOfALargeDeploymentFromItsStart.
 		length := testBounds().UsageWindow
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -20,6 +20,7 @@
 	}
 	e.addPeer(received)
 	e.front.RecordReports(decodeReports(received.GetReports()))
+	e.front.MergeCrashes(decodeEvidence(received.GetCrashEvidence()))
 	demand := decodeDemand(received.GetDemand())
 	e.front.AssumeSpeeds(demand)
 	e.mu.Lock()
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -57,6 +57,8 @@
 	retriedAttempts int
 	upstream        string
 	usageCounted    bool
+	// crashCheck tells whether the last upstream crashed as it began to respond.
+	crashCheck *breaks
 }
 
 // refusal is a response that the host generates itself, with an empty body.
@@ -64,6 +66,16 @@
 	status     int
 	cause      string
 	retryDelay time.Duration
+	// longDelay is set if retryDelay is told as it is, beyond maxRetryAfter.
+	longDelay bool
+}
+
+// retryAfter returns the time after which the caller is told to come back.
+func (r refusal) retryAfter() time.Duration {
+	if r.longDelay {
+		return withJitter(r.retryDelay)
+	}
+	return withJitter(min(max(r.retryDelay, minRetryAfter), maxRetryAfter))
 }
 
 // ServeHTTP admits the request and forwards it to an upstream, or refuses it.
@@ -273,7 +285,7 @@
 func (c *call) refuse(w http.ResponseWriter, r refusal) {
 	header := w.Header()
 	if r.retryDelay > 0 {
-		header.Set("Retry-After", platform.EncodeRetryAfter(jitteredRetryAfter(r.retryDelay)))
+		header.Set("Retry-After", platform.EncodeRetryAfter(r.retryAfter()))
 	}
 	if c.id != "" {
 		header.Set(platform.HeaderRequestID, c.id)
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -10,6 +10,7 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimengine"
 	"persimmonport.example/persimplace"
+	"persimmonport.example/persimquarantine"
 	"persimmonport.example/persimquota"
 	"persimmonport.example/persimretry"
 	"persimmonport.example/persimsettings"
@@ -76,6 +77,9 @@
 	hostCount   int
 	// observedHosts are the other hosts if each of them is observed.
 	observedHosts []string
+	quarantine    persimquarantine.Quarantine
+	// quarantined are the prompt parts that were quarantined when it was last logged.
+	quarantined map[uint64]bool
 }
 
 func newDispatcher(bounds persimsettings.Bounds) *dispatcher {
@@ -86,6 +90,7 @@
 		budgets:      map[string]persimretry.Window{},
 		demand:       map[string]Demand{},
 		hostCount:    1,
+		quarantine:   persimquarantine.New(),
 	}
 }
 
@@ -141,9 +146,11 @@
 	d.observedHosts = nil
 }
 
-// divideBudgets divides the retry budgets among a number of hosts.
+// divideBudgets divides the retry budgets and the probes of quarantined prompt parts among
+// a number of hosts.
 func (d *dispatcher) divideBudgets(hosts int) {
 	d.hostCount = hosts
+	d.quarantine.SetHosts(hosts)
 	for _, budget := range d.budgets {
 		budget.SetHosts(hosts)
 	}
@@ -187,6 +194,7 @@
 		Loads:    map[uint64]persimplace.PeerLoad{},
 		Reports:  map[uint64]persimplace.TimedReport{},
 		Admitted: d.quotaLimiter.Admitted(),
+		Crashes:  d.crashEvidence(now),
 	}
 	for _, placer := range d.placers {
 		maps.Copy(state.Loads, placer.OwnLoads())
@@ -195,6 +203,17 @@
 	return state
 }
 
+// crashEvidence returns what is known of prompt parts that crash upstreams.
+func (d *dispatcher) crashEvidence(now time.Time) persimquarantine.Evidence {
+	evidence := d.quarantine.Evidence(now)
+	quarantined := make(map[uint64]bool, len(evidence.Quarantined))
+	for _, part := range evidence.Quarantined {
+		quarantined[part.Part] = true
+	}
+	d.logQuarantine(quarantined)
+	return evidence
+}
+
 // budget returns the retry budget of a service and creates it on first use.
 func (d *dispatcher) budget(now time.Time, service string) persimretry.Window {
 	budget, ok := d.budgets[service]
@@ -277,9 +296,8 @@
 	return 1 / (1 - math.Exp(-active.Seconds()/demandWindow.Seconds()))
 }
 
-// jitteredRetryAfter limits a delay to minRetryAfter and maxRetryAfter and adds jitter.
-func jitteredRetryAfter(delay time.Duration) time.Duration {
-	delay = min(max(delay, minRetryAfter), maxRetryAfter)
+// withJitter extends a delay by a random share.
+func withJitter(delay time.Duration) time.Duration {
 	return delay + time.Duration(rand.Float64()*retryAfterJitter*float64(delay))
 }
 
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -16,6 +16,7 @@
 	"persimmonport.example/persimconn"
 	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplace"
+	"persimmonport.example/persimquarantine"
 	"persimmonport.example/persimsettings"
 )
 
@@ -51,6 +52,8 @@
 	ObserveOthers(at time.Time, hosts int, state SharedState)
 	// RecordReports records load reports that another host has received.
 	RecordReports(reports map[uint64]persimplace.TimedReport)
+	// MergeCrashes adds what another host knows of prompt parts that crash upstreams.
+	MergeCrashes(evidence persimquarantine.Evidence)
 	// SharedState returns this host's state for the other hosts.
 	SharedState() SharedState
 	// Demand returns the rate of arriving work, by service.
@@ -74,12 +77,14 @@
 }
 
 // SharedState is the state that hosts exchange: the loads that a host places on the
-// upstreams and the load reports it has, by hash of the upstream's id, and the
-// cost admitted since its start, by organisation.
+// upstreams and the load reports it has, by hash of the upstream's id, the cost admitted
+// since its start, by organisation, and what it knows of crashes.
 type SharedState struct {
 	Loads    map[uint64]persimplace.PeerLoad
 	Reports  map[uint64]persimplace.TimedReport
 	Admitted map[string]float64
+	// Crashes tells which prompt parts crash upstreams.
+	Crashes persimquarantine.Evidence
 }
 
 // Counter counts the requests that started at an upstream, for the usage of each
@@ -135,6 +140,7 @@
 	heldBodyBytes atomic.Int64
 
 	callerConns *callerConns
+	crashWatch  *crashWatch
 
 	// aborted ends when AbortRequests is called.
 	aborted context.Context
@@ -154,6 +160,7 @@
 	f := &front{config: c, dispatcher: newDispatcher(c.bounds)}
 	f.callerConns = newCallerConns(f.limits)
 	f.aborted, f.abort = context.WithCancel(context.Background())
+	f.crashWatch = newCrashWatch(c.pool, f.recordCrash)
 	return f
 }
 
@@ -238,6 +245,12 @@
 	f.dispatcher.recordReports(reports)
 }
 
+func (f *front) MergeCrashes(evidence persimquarantine.Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.quarantine.Merge(time.Now(), evidence)
+}
+
 func (f *front) SharedState() SharedState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -75,7 +75,7 @@
 	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedBytes+1))
 	if err != nil {
 		exchange.Abandon()
-		a.recordBreak(ctx, "response broke off", 0, err)
+		a.recordBreak(ctx, "response broke off", true, 0, err)
 		return resultUnknown, nil, "answer broke off"
 	}
 	if len(body) > maxBufferedBytes {
@@ -99,6 +99,7 @@
 		return resultErrorResponse, response, "upstream failed"
 	}
 	a.finish(persimplace.OutcomeSuccess)
+	a.recordSound()
 	a.send(w, response, outcomeOK)
 	return resultDone, nil, ""
 }
@@ -169,13 +170,14 @@
 		control: http.NewResponseController(w),
 		header:  exchange.Response.Header,
 		status:  exchange.Response.StatusCode,
+		onSound: a.recordSound,
 	}
 	writer.source(exchange)
 	err := writer.copy(exchange)
 	for err != nil {
 		exchange.Abandon()
-		a.recordBreak(ctx, "stream broke off", writer.events, err)
-		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable {
+		a.recordBreak(ctx, "stream broke off", true, writer.events, err)
+		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable || a.crashedUpstream(ctx) {
 			break
 		}
 		resumed := a.resume(ctx, writer.lastID)
@@ -191,6 +193,7 @@
 		exchange.Finish()
 		a.recordOutput(writer)
 		a.finish(persimplace.OutcomeSuccess)
+		a.recordSound()
 		a.record(writer.status, outcomeOK)
 		return resultDone, nil, ""
 	}
@@ -255,7 +258,7 @@
 	}
 	exchange, err := persimconn.Send(ctx, conn, req)
 	if err != nil {
-		a.recordBreak(ctx, "connection broke", 0, err)
+		a.recordBreak(ctx, "connection broke", false, 0, err)
 		return nil
 	}
 	header := exchange.Response.Header
@@ -280,6 +283,8 @@
 	headerWritten bool
 	callerGone    bool
 	lastID        string
+	// onSound is called once the response has gone on for some events.
+	onSound func()
 	// events counts the events, firstAt and lastAt are when the first and the last one
 	// arrived.
 	events          int
@@ -401,7 +406,11 @@
 	if e.events == 0 {
 		e.firstAt = e.lastAt
 	}
+	before := e.events
 	e.events += bytes.Count(events, []byte(eventEnd)) + bytes.Count(events, []byte(longestEventEnd))
+	if before < eventsWhenSound && e.events >= eventsWhenSound {
+		e.onSound()
+	}
 }
 
 // lastEventID returns the id of the last event that has one, or last if none has.
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -83,7 +83,7 @@
 		if response != nil {
 			errorResponse = response
 		}
-		if ctx.Err() != nil || mayHaveRun && !c.route.Repeatable() {
+		if ctx.Err() != nil || mayHaveRun && !c.route.Repeatable() || c.crashedUpstream(ctx) {
 			break
 		}
 	}
@@ -142,6 +142,9 @@
 	c.placement.Exclude = c.tried
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if refused := c.checkQuarantine(now); refused != nil {
+		return persimplace.Choice{}, refused
+	}
 	choice, ok := f.dispatcher.placer(c.service).Choose(now, c.placement)
 	if !ok {
 		return choice, &refusal{status: http.StatusServiceUnavailable, cause: "no upstream", retryDelay: maxRetryAfter}
@@ -335,18 +338,22 @@
 	}
 	a.finish(persimplace.OutcomeFailed)
 	a.logBreak(cause, 0, err)
+	if a.phase.Load() != phaseAbandoned && time.Now().Before(a.deadline) {
+		a.checkCrash(false, 0)
+	}
 	return resultUnknown, nil, cause
 }
 
-// recordBreak records that a response broke off. It is the upstream's failure unless the
+// recordBreak records that a response broke off, which had begun or not. It is the upstream's failure unless the
 // deadline has passed or the caller has gone.
-func (a *attempt) recordBreak(ctx context.Context, cause string, events int, err error) {
+func (a *attempt) recordBreak(ctx context.Context, cause string, begun bool, events int, err error) {
 	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 		a.finish(persimplace.OutcomeNeutral)
 		return
 	}
 	a.finish(persimplace.OutcomeFailed)
 	a.logBreak(cause, events, err)
+	a.checkCrash(begun, events)
 }
 
 // logBreak logs an attempt that broke off, with the prompt parts that other requests may
--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -103,8 +103,7 @@
 	// poisonStream is that for an event of KindPoison.
 	poisonStream = 1<<32 + 1
 	// poisonInterval draws an event of KindPoison for one seed in so many; zero draws none.
-	// It is zero until hosts keep deadly requests from upstreams.
-	poisonInterval    = 0
+	poisonInterval    = 2
 	minPoisonDuration = 24 * time.Second
 	maxPoisonDelay    = time.Second
 )
