--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -104,6 +104,9 @@
 // be forwarded.
 func (c *call) admit(w http.ResponseWriter) *refusal {
 	f := c.front
+	if f.aborted.Err() != nil {
+		return &refusal{status: http.StatusServiceUnavailable, cause: "host stops", retryDelay: minRetryAfter}
+	}
 	age, known := f.CatalogueAge()
 	if !known {
 		return &refusal{status: http.StatusServiceUnavailable, cause: "no configuration", retryDelay: minRetryAfter}
