Refer relayed callers to another host when a drain ends

Seen: a caller whose request was handed over and still ran at the end of the notice got neither an answer nor a refusal: Complete ended with the loss of the connection and no identifier to resume with, Generate without End and without Moved. Cause: relayOwned and awaitCall look at h.closed, relayRemote, follow and takeOver did not; they waited for the next owner until the process ended 500 ms later. What: relayRemote runs in a context that also ends when h.closed closes. follow then ends, no further host is tried and nothing is taken over, and relay sends Moved, from which Complete builds its refusal DRAINING with the identifier, as it did for owned requests.

--- /dev/null
+++ b/drain_test.go
@@ -0,0 +1,63 @@
+package persimmonport
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonport.example/persimwire"
+)
+
+// sendUntilMoved sends a request to a host that drains. It returns what the caller received
+// and whether the host referred the caller to another one.
+type sendUntilMoved func(d *deployment, e *entry, msg *persimwire.GenerateRequest) (r *streamResult, moved bool)
+
+func generateUntilMoved(d *deployment, e *entry, msg *persimwire.GenerateRequest) (*streamResult, bool) {
+	r := &streamResult{}
+	stream, err := d.callerClient(e).Generate(d.ctx, withToken(testToken, msg))
+	require.NoError(d.t, err)
+	var moved *persimwire.Moved
+	for stream.Receive() {
+		r.record(stream.Msg())
+		if stream.Msg().GetMoved() != nil {
+			moved = stream.Msg().GetMoved()
+		}
+	}
+	require.NoError(d.t, stream.Err())
+	return r, moved.GetId() == r.id && moved.GetOffset() == r.tokens
+}
+
+func completeUntilMoved(d *deployment, e *entry, msg *persimwire.GenerateRequest) (*streamResult, bool) {
+	_, err := d.callerClient(e).Complete(d.ctx, withToken(testToken, msg))
+	requireReason(d.t, err, persimwire.Reason_REASON_DRAINING)
+	refusal, _ := RefusalOf(err)
+	return &streamResult{id: refusal.GetId()}, refusal.GetOutcome() == persimwire.Outcome_OUTCOME_UNKNOWN
+}
+
+// TestRelayedCallerIsToldThatTheDrainEnds guards against a host that ends without a word to
+// the callers of requests that it has handed over and relays from their next owner.
+func TestRelayedCallerIsToldThatTheDrainEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		send sendUntilMoved
+	}{
+		{"generate", generateUntilMoved},
+		{"complete", completeUntilMoved},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, defaultDeploymentConfig())
+				defer d.close()
+				d.waitReady()
+				e := d.entries[0]
+				time.AfterFunc(time.Second, e.host.Drain)
+				r, moved := c.send(d, e, &persimwire.GenerateRequest{Service: "match", Prompt: "match len=900"})
+				require.True(t, moved, "the caller is referred to another host")
+				require.NoError(t, d.readFromEntry(d.entries[1], r, ""))
+				require.True(t, r.complete())
+			})
+		})
+	}
+}
--- a/relay.go
+++ b/relay.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// untilClosed returns a context that also ends when the drain of this host has ended.
+func (h *host) untilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if h.isClosed() {
+		cancel()
+	}
+	go func() {
+		select {
+		case <-h.closed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -184,9 +200,11 @@
 	return notRunRefusal(persimwire.Reason_REASON_INVALID, "the offset lies beyond the answer")
 }
 
-// relayRemote streams from the host that owns the request. If none does, a holder
-// of a replica takes the request over.
+// relayRemote streams from the host that owns the request, until it ends or the drain
+// of this host has ended. If no host owns it, a holder of a replica takes it over.
 func (h *host) relayRemote(ctx context.Context, organisation, id string, offset int, prefix []byte, movedTo string, send sendFunc) (*persimwire.Refusal, error) {
+	ctx, cancel := h.untilClosed(ctx)
+	defer cancel()
 	rows := h.ownerCandidates(id, movedTo)
 	for _, allowTakeover := range []bool{false, true} {
 		if allowTakeover && h.takeOver(ctx, organisation, id, offset) {
