Hand over no request that is still being accepted

Seen: a model request sent in the last milliseconds before a draining host refuses new ones was refused with the outcome "not run" after 5 s while another host ran it, or was cut by the end of the host, with neither an answer nor a refusal. Cause: checkAccepting let it pass; handOver then moved it while startModel waited in AwaitReplica. The replica of a moved request is not sent, so that the wait could not succeed, and a moved request did not count as remaining, so that the drain could end. What: the host holds the identifiers of the requests that it is accepting, from before they are in the table of requests until they are accepted or refused. handOver passes over them, counts them as remaining, and moves them in the next round, 250 ms later. The other requests do not wait for them, unlike with a wait for zero before the first handover, which may last as long as the replication of one request may, 5 s.

--- a/callers.go
+++ b/callers.go
@@ -169,6 +169,8 @@
 // startModel queues a request and accepts it once another host holds a replica.
 // A request that is refused before that has not run.
 func (h *host) startModel(ctx context.Context, state *persimwire.Flight, service persimprofile.Service, profile persimprofile.Profile, deadline time.Time) (*persimwire.Accepted, *persimwire.Refusal) {
+	h.accepting.Store(state.GetId(), struct{}{})
+	defer h.accepting.Delete(state.GetId())
 	f, _, err := h.flights.Add(state, "")
 	if err != nil {
 		return nil, withRetryAfter(notRunRefusal(persimwire.Reason_REASON_OVERLOADED, "too many requests in progress"), time.Second)
--- a/drain.go
+++ b/drain.go
@@ -51,7 +51,7 @@
 	remaining := 0
 	for _, f := range h.flights.Owned() {
 		target := h.handoverTarget(f)
-		if h.isCallInProgress(f) || target == "" {
+		if h.isBeingAccepted(f) || h.isCallInProgress(f) || target == "" {
 			remaining++
 			continue
 		}
@@ -67,6 +67,13 @@
 	return remaining
 }
 
+// isBeingAccepted reports whether the host has neither accepted nor refused a request yet.
+// It is not handed over, since it may still be refused as not run.
+func (h *host) isBeingAccepted(f *persimflight.Flight) bool {
+	_, ok := h.accepting.Load(f.ID())
+	return ok
+}
+
 // isCallInProgress reports whether a request is an unfinished call to a plain
 // service. It is not handed over, since its connection cannot move.
 func (h *host) isCallInProgress(f *persimflight.Flight) bool {
--- a/drain_test.go
+++ b/drain_test.go
@@ -61,3 +61,45 @@
 		})
 	}
 }
+
+// acceptanceCase is a state of a host that begins to hand over while it accepts a request.
+type acceptanceCase struct {
+	name string
+	// earlier is a request that delays the replication of the next one.
+	earlier string
+}
+
+// TestRequestIsNotHandedOverWhileItIsAccepted guards against a request that runs at its next
+// owner while its caller still waits for the acceptance, and then is refused as not run or
+// cut.
+func TestRequestIsNotHandedOverWhileItIsAccepted(t *testing.T) {
+	for _, c := range []acceptanceCase{
+		{"host stays open", "match len=400"},
+		{"nothing else is open", "match len=10"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				config := defaultDeploymentConfig()
+				d := newDeployment(t, config)
+				defer d.close()
+				d.waitReady()
+				results := make(chan *streamResult, 2)
+				send := func(prompt string) { results <- d.readStream(0, prompt, time.Minute) }
+				e := d.entries[0]
+				e.host.Drain()
+				time.Sleep(config.drainLag - replicateInterval + networkDelay)
+				go send(c.earlier)
+				time.Sleep(replicateInterval / 2)
+				go send("match while the drain begins len=10")
+				time.Sleep(replicateInterval/2 - 2*networkDelay)
+				require.Len(t, e.host.flights.Owned(), cap(results), "requests before the host hands over")
+				for range cap(results) {
+					r := <-results
+					require.True(t, r.complete())
+					require.Zero(t, r.retriedRefusals, "refused: %v", r.lastRetried)
+					require.Equal(t, e.name, hostsInID(r.id)[0], "host that accepted the request")
+				}
+			})
+		})
+	}
+}
--- a/host.go
+++ b/host.go
@@ -107,8 +107,10 @@
 	closed chan struct{}
 	// rejectingNew is set once a draining host refuses new requests.
 	rejectingNew atomic.Bool
-	openStreams  atomic.Int64
-	openCalls    atomic.Int64
+	// accepting holds the identifiers of the requests that this host is accepting.
+	accepting   sync.Map
+	openStreams atomic.Int64
+	openCalls   atomic.Int64
 	// announcedGeneration is the catalogue generation last announced to other hosts.
 	announcedGeneration atomic.Uint64
 	// The times of contact are nanoseconds since startTime.
