Refuse what a host cannot accept before its drain ends

Seen: a caller whose request a draining host could not replicate, cut off from the platform and the other hosts, got neither an acceptance nor a refusal when the notice ended. Cause: startModel waits up to 5 s for the replica, and up to 1 s more for the platform, without a look at h.closed; the host ends 500 ms after that closes. Between checkAccepting and relay nothing counted the caller either, so that the drain could end in that time. What: both waits run in the context that ends when h.closed closes, so that the caller is refused as not run, which is true: handOver passes over requests that are being accepted. Generate, Complete and Resume now count as open streams as a whole, the first two from before checkAccepting, instead of from relay on. Evidence: TestCallerIsRefusedBeforeTheDrainEnds failed before in both cases in 20 of 20 runs (35 of 40 with "connection lost" or no status, 5 told at the very end of the host) and passes in 20 of 20.

--- a/callers.go
+++ b/callers.go
@@ -61,6 +61,8 @@
 	if refusal != nil {
 		return refusalError(refusal)
 	}
+	c.host.openStreams.Add(1)
+	defer c.host.openStreams.Add(-1)
 	accepted, refusal := c.host.acceptModel(ctx, organisation, req.Msg)
 	if refusal != nil {
 		return refusalError(refusal)
@@ -85,6 +87,8 @@
 	if refusal != nil {
 		return refusalError(refusal)
 	}
+	c.host.openStreams.Add(1)
+	defer c.host.openStreams.Add(-1)
 	return c.relay(ctx, organisation, req.Msg, stream)
 }
 
@@ -112,6 +116,8 @@
 	if refusal != nil {
 		return nil, refusalError(refusal)
 	}
+	c.host.openStreams.Add(1)
+	defer c.host.openStreams.Add(-1)
 	accepted, refusal := c.host.acceptModel(ctx, organisation, req.Msg)
 	if refusal != nil {
 		return nil, refusalError(refusal)
@@ -166,8 +172,9 @@
 	return h.startModel(ctx, state, service, profile, deadline)
 }
 
-// startModel queues a request and accepts it once another host holds a replica.
-// A request that is refused before that has not run.
+// startModel queues a request and accepts it once another host holds a replica. It
+// refuses the request if that takes longer than replicationTimeout or than the drain of
+// this host. A request that is refused before that has not run.
 func (h *host) startModel(ctx context.Context, state *persimwire.Flight, service persimprofile.Service, profile persimprofile.Profile, deadline time.Time) (*persimwire.Accepted, *persimwire.Refusal) {
 	h.accepting.Store(state.GetId(), struct{}{})
 	defer h.accepting.Delete(state.GetId())
@@ -182,8 +189,10 @@
 		h.flights.Drop(f.ID())
 		return nil, refusal
 	}
-	replicationCtx, cancel := context.WithTimeout(ctx, replicationTimeout)
+	ctx, cancel := h.untilClosed(ctx)
 	defer cancel()
+	replicationCtx, cancelReplication := context.WithTimeout(ctx, replicationTimeout)
+	defer cancelReplication()
 	f.SetReplica(hostsInID(f.ID())[1])
 	replicated := f.AwaitReplica(replicationCtx)
 	if !replicated && (profile.ReplicaRequired || h.pickReplica("") != "" || !h.platformReachable(ctx)) {
--- a/drain_test.go
+++ b/drain_test.go
@@ -1,6 +1,7 @@
 package persimmonport
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,3 +104,57 @@
 		})
 	}
 }
+
+// TestCallerIsRefusedBeforeTheDrainEnds guards against a host that ends without a word to a
+// caller whose request it could not replicate.
+func TestCallerIsRefusedBeforeTheDrainEnds(t *testing.T) {
+	msg := &persimwire.GenerateRequest{Service: "match", Prompt: "match len=10"}
+	unreplicated := persimwire.Reason_REASON_UNREPLICATED
+	for _, c := range []inputCase{
+		{"generate", sendGenerate(msg), unreplicated},
+		generateCase("complete", testToken, unreplicated, msg),
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				config := defaultDeploymentConfig()
+				config.drainNotice = config.drainLag + replicationTimeout/2
+				d := newDeployment(t, config)
+				defer d.close()
+				d.waitReady()
+				e := d.entries[0]
+				drainEnd := time.Now().Add(config.drainNotice - drainSafetyMargin)
+				e.host.Drain()
+				time.Sleep(config.drainLag / 2)
+				d.isolate(e)
+				requireReason(t, c.send(d.ctx, d.callerClient(e)), c.reason)
+				require.Less(t, time.Since(drainEnd), closeGracePeriod)
+				<-e.done
+				require.Zero(t, d.generatedTokens())
+			})
+		})
+	}
+}
+
+// isolate drops the packets between an entry host and the platform and other hosts.
+func (d *deployment) isolate(e *entry) {
+	address := e.settings.Listen.Peers
+	d.net.block(address, platformAddress)
+	for _, other := range d.entries {
+		d.net.block(address, other.settings.Listen.Peers)
+		d.net.block(other.settings.Listen.Peers, address)
+	}
+}
+
+// sendGenerate returns a function that sends a request and returns the error of its stream.
+func sendGenerate(msg *persimwire.GenerateRequest) func(context.Context, persimwire.CallerServiceClient) error {
+	return func(ctx context.Context, client persimwire.CallerServiceClient) error {
+		stream, err := client.Generate(ctx, withToken(testToken, msg))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = stream.Close() }()
+		for stream.Receive() {
+		}
+		return stream.Err()
+	}
+}
--- a/relay.go
+++ b/relay.go
@@ -40,8 +40,6 @@
 // relay streams a request to its caller from whichever host owns it, until the end
 // marker, a refusal or the shutdown of this host.
 func (h *host) relay(ctx context.Context, organisation string, request *persimwire.ResumeRequest, send sendFunc) *persimwire.Refusal {
-	h.openStreams.Add(1)
-	defer h.openStreams.Add(-1)
 	offset := int(request.GetOffset())
 	prefix := request.GetPrefix()
 	trackedSend := func(event *persimwire.StreamEvent) error {
