Refuse a waiting duplicate before the drain ends

Seen: an order that was repeated at a draining host while its first call still ran on another host got neither an answer nor a refusal when the notice ended. Cause: call leaves a request that the host refuses to confirmNotRun, which waits for the first call in awaitRemoteCall; that loop looked at the caller's context, not at h.closed. What: confirmNotRun runs in the context that ends when h.closed closes. The caller is then refused with the recorded state of its key, here the outcome "unknown", and may repeat the order with the same key elsewhere.

--- a/calls.go
+++ b/calls.go
@@ -85,6 +85,8 @@
 	state := c.newFlightState(organisation, profile, deadline)
 	f, created, refusal := c.start(state, service, profile, deadline)
 	if refusal != nil {
+		ctx, cancel := h.untilClosed(ctx)
+		defer cancel()
 		return c.confirmNotRun(ctx, organisation, refusal)
 	}
 	if !created {
--- a/drain_test.go
+++ b/drain_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"persimmonport.example/persimstand"
 	"persimmonport.example/persimwire"
 )
 
@@ -135,6 +136,31 @@
 	}
 }
 
+// TestDuplicateIsRefusedBeforeTheDrainEnds guards against a host that ends without a word to
+// the sender of a duplicate whose first call still runs on another host.
+func TestDuplicateIsRefusedBeforeTheDrainEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := defaultDeploymentConfig()
+		d := newDeployment(t, config)
+		defer d.close()
+		d.waitReady()
+		for _, service := range d.services {
+			service.SetFault(persimstand.Fault{Delay: 2 * config.drainNotice})
+		}
+		key := newKey(newRandom(8), time.Now())
+		first := make(chan orderResult, 1)
+		go func() { first <- d.sendOrder(d.entries[1], key, "arm", false) }()
+		e := d.entries[0]
+		drainEnd := time.Now().Add(config.drainNotice - drainSafetyMargin)
+		e.host.Drain()
+		time.Sleep(config.drainLag + handoverInterval/2)
+		duplicate := d.sendOrder(e, key, "arm", true)
+		require.Less(t, time.Since(drainEnd), closeGracePeriod)
+		require.Equal(t, persimwire.Outcome_OUTCOME_UNKNOWN, duplicate.refusal.GetOutcome())
+		require.True(t, (<-first).answered)
+	})
+}
+
 // isolate drops the packets between an entry host and the platform and other hosts.
 func (d *deployment) isolate(e *entry) {
 	address := e.settings.Listen.Peers
