End a drain in time when the next owner is silent

Seen: a host whose 10 streams were handed to a host that did not answer ended 12.75 s after the begin of a notice of 8 s. The platform ends the process at the end of the notice, so that the callers get neither an answer nor a refusal. Cause: drain looked at its end before each round only. A round waits up to 2 s for each handover, and then asks for each request of it in turn, up to 0.8 s each. What: the rounds run in a context that ends with the drain, and handOverTo begins none after that. Requests whose handover is then unanswered continue on this host, as after any such handover, with an epoch above that of a target that may have accepted them, and their callers are referred to other hosts. A target that merely answers late in the last moment is thus no longer asked; the drain has no time left for that.

--- a/drain.go
+++ b/drain.go
@@ -33,12 +33,14 @@
 	h.triggerExchange()
 	pause(ctx, h.settings.Drain.Lag.Std())
 	h.rejectingNew.Store(true)
-	for time.Now().Before(end) && ctx.Err() == nil {
-		remaining := h.handOver(ctx)
+	handoverCtx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	for handoverCtx.Err() == nil {
+		remaining := h.handOver(handoverCtx)
 		if remaining == 0 && h.openStreams.Load() == 0 && h.openCalls.Load() == 0 {
 			break
 		}
-		pause(ctx, handoverInterval)
+		pause(handoverCtx, handoverInterval)
 	}
 	close(h.closed)
 	pause(ctx, closeGracePeriod)
@@ -94,7 +96,7 @@
 // that the next owner does not accept continue on this host. It returns their number.
 func (h *host) handOverTo(ctx context.Context, target string, flights []*persimflight.Flight) int {
 	row, ok := h.members.Host(target)
-	if !ok {
+	if !ok || ctx.Err() != nil {
 		return len(flights)
 	}
 	request := &persimwire.HandoverRequest{From: h.name()}
--- a/drain_test.go
+++ b/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,6 +162,28 @@
 	})
 }
 
+// TestDrainEndsInTimeWithoutItsTarget guards against a host that still asks a silent host
+// about its requests when its notice has ended.
+func TestDrainEndsInTimeWithoutItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := defaultDeploymentConfig()
+		d := newDeployment(t, config)
+		defer d.close()
+		d.waitReady()
+		e := d.entries[0]
+		for i := range 10 {
+			go d.readStream(0, fmt.Sprintf("match %d len=900", i), time.Minute)
+		}
+		time.Sleep(time.Second)
+		start := time.Now()
+		e.host.Drain()
+		time.Sleep(config.drainLag - networkDelay/2)
+		d.isolate(e)
+		<-e.done
+		require.LessOrEqual(t, time.Since(start), config.drainNotice)
+	})
+}
+
 // isolate drops the packets between an entry host and the platform and other hosts.
 func (d *deployment) isolate(e *entry) {
 	address := e.settings.Listen.Peers
