Hand over every token that the former owner releases

Seen: a token that arrived while its request was handed over could reach the caller without being in the state that the next owner continues from. The caller then resumes beyond the answer that the next owner has, or gets a text of which the next owner has another version. Cause: beginHandover took the state, released the lock, and took it again in markMoved to end the ownership. Append and Finish succeeded in between. What: both under one lock; markMovedLocked is the common part with markMoved. Evidence: TestHandoverHoldsAllThatIsReleased appends in a goroutine during 2,000 handovers, since no point to stop at lies between the two locks; it cannot fail without the fault.

--- a/persimflight/flight_test.go
+++ b/persimflight/flight_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -212,3 +213,28 @@
 	_, _, err = table.Add(newState("5"), "")
 	require.NoError(t, err)
 }
+
+// TestHandoverHoldsAllThatIsReleased guards against tokens that a caller has seen but that
+// the next owner lacks, since they were appended during the handover.
+func TestHandoverHoldsAllThatIsReleased(t *testing.T) {
+	const handovers = 2000
+	for i := range handovers {
+		owner := New("entry-0")
+		f, _, err := owner.Add(newState(fmt.Sprint(i)), "")
+		require.NoError(t, err)
+		f.BeginAttempt(1, "engine", "s")
+		begun := make(chan struct{})
+		var appending sync.WaitGroup
+		appending.Go(func() {
+			f.Append(1, 0, "a")
+			close(begun)
+			for next := 1; f.Append(1, next, "a"); next++ {
+			}
+		})
+		<-begun
+		state, ok := owner.BeginHandover(f.ID(), "entry-1", time.Now())
+		require.True(t, ok)
+		appending.Wait()
+		require.Equal(t, strings.Join(state.GetTokens(), ""), released(t, f))
+	}
+}
--- a/persimflight/replication.go
+++ b/persimflight/replication.go
@@ -109,6 +109,10 @@
 func (f *Flight) markMoved(host string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.markMovedLocked(host)
+}
+
+func (f *Flight) markMovedLocked(host string) {
 	if f.role == RoleMoved {
 		return
 	}
@@ -125,13 +129,12 @@
 // continues.
 func (f *Flight) beginHandover(host string, now time.Time) (*persimwire.Flight, bool) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.role != RoleOwner {
-		f.mu.Unlock()
 		return nil, false
 	}
 	state := f.snapshot(now)
-	f.mu.Unlock()
-	f.markMoved(host)
+	f.markMovedLocked(host)
 	return state, true
 }
 
