Send no relayed token twice after the owner was killed

Seen: a caller that read a request through a host without a replica got tokens a second time when the owner was killed. The trial read a stream; by the code, Complete would return a text with them, since it appends what is relayed. Cause: relayRemote tried the next host with the offset from before the first one's tokens. The holder of the replica took the request over and streamed from there. What: once events have been sent, relayRemote returns to relay, which goes on from the offset after them.

--- a/relay.go
+++ b/relay.go
@@ -199,10 +199,16 @@
 }
 
 // relayRemote streams from the host that owns the request, until it ends or the drain
-// of this host has ended. If no host owns it, a holder of a replica takes it over.
+// of this host has ended. If no host owns it, a holder of a replica takes it over. Once it
+// has sent events it tries no further host, since the offset is then out of date.
 func (h *host) relayRemote(ctx context.Context, organisation, id string, offset int, prefix []byte, movedTo string, send sendFunc) (*persimwire.Refusal, error) {
 	ctx, cancel := h.untilClosed(ctx)
 	defer cancel()
+	sent := false
+	noteSend := func(event *persimwire.StreamEvent) error {
+		sent = true
+		return send(event)
+	}
 	rows := h.ownerCandidates(id, movedTo)
 	for _, allowTakeover := range []bool{false, true} {
 		if allowTakeover && h.takeOver(ctx, organisation, id, offset) {
@@ -212,8 +218,8 @@
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
-			refusal, err := h.follow(ctx, row, organisation, id, offset, prefix, allowTakeover, send)
-			if !shouldTryNextHost(refusal, err) {
+			refusal, err := h.follow(ctx, row, organisation, id, offset, prefix, allowTakeover, noteSend)
+			if sent || !shouldTryNextHost(refusal, err) {
 				return refusal, err
 			}
 		}
