--- a/drain.go
+++ b/drain.go
@@ -33,12 +33,14 @@
 	h.triggerExchange()
 	pause(ctx, h.settings.Drain.Lag.Std())
 	h.rejectingNew.Store(true)
-	for time.Now().Before(end) && ctx.Err() == nil {
-		remaining := h.handOver(ctx)
+	handoverCtx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	for handoverCtx.Err() == nil {
+		remaining := h.handOver(handoverCtx)
 		if remaining == 0 && h.openStreams.Load() == 0 && h.openCalls.Load() == 0 {
 			break
 		}
-		pause(ctx, handoverInterval)
+		pause(handoverCtx, handoverInterval)
 	}
 	close(h.closed)
 	pause(ctx, closeGracePeriod)
@@ -51,7 +53,7 @@
 	remaining := 0
 	for _, f := range h.flights.Owned() {
 		target := h.handoverTarget(f)
-		if h.isCallInProgress(f) || target == "" {
+		if h.isBeingAccepted(f) || h.isCallInProgress(f) || target == "" {
 			remaining++
 			continue
 		}
@@ -67,6 +69,13 @@
 	return remaining
 }
 
+// isBeingAccepted reports whether the host has neither accepted nor refused a request yet.
+// It is not handed over, since it may still be refused as not run.
+func (h *host) isBeingAccepted(f *persimflight.Flight) bool {
+	_, ok := h.accepting.Load(f.ID())
+	return ok
+}
+
 // isCallInProgress reports whether a request is an unfinished call to a plain
 // service. It is not handed over, since its connection cannot move.
 func (h *host) isCallInProgress(f *persimflight.Flight) bool {
@@ -87,7 +96,7 @@
 // that the next owner does not accept continue on this host. It returns their number.
 func (h *host) handOverTo(ctx context.Context, target string, flights []*persimflight.Flight) int {
 	row, ok := h.members.Host(target)
-	if !ok {
+	if !ok || ctx.Err() != nil {
 		return len(flights)
 	}
 	request := &persimwire.HandoverRequest{From: h.name()}
--- a/relay.go
+++ b/relay.go
@@ -40,8 +40,6 @@
 // relay streams a request to its caller from whichever host owns it, until the end
 // marker, a refusal or the shutdown of this host.
 func (h *host) relay(ctx context.Context, organisation string, request *persimwire.ResumeRequest, send sendFunc) *persimwire.Refusal {
-	h.openStreams.Add(1)
-	defer h.openStreams.Add(-1)
 	offset := int(request.GetOffset())
 	prefix := request.GetPrefix()
 	trackedSend := func(event *persimwire.StreamEvent) error {
@@ -101,6 +99,22 @@
 	}
 }
 
+// untilClosed returns a context that also ends when the drain of this host has ended.
+func (h *host) untilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if h.isClosed() {
+		cancel()
+	}
+	go func() {
+		select {
+		case <-h.closed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -184,9 +198,17 @@
 	return notRunRefusal(persimwire.Reason_REASON_INVALID, "the offset lies beyond the answer")
 }
 
-// relayRemote streams from the host that owns the request. If none does, a holder
-// of a replica takes the request over.
+// relayRemote streams from the host that owns the request, until it ends or the drain
+// of this host has ended. If no host owns it, a holder of a replica takes it over. Once it
+// has sent events it tries no further host, since the offset is then out of date.
 func (h *host) relayRemote(ctx context.Context, organisation, id string, offset int, prefix []byte, movedTo string, send sendFunc) (*persimwire.Refusal, error) {
+	ctx, cancel := h.untilClosed(ctx)
+	defer cancel()
+	sent := false
+	noteSend := func(event *persimwire.StreamEvent) error {
+		sent = true
+		return send(event)
+	}
 	rows := h.ownerCandidates(id, movedTo)
 	for _, allowTakeover := range []bool{false, true} {
 		if allowTakeover && h.takeOver(ctx, organisation, id, offset) {
@@ -196,8 +218,8 @@
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
-			refusal, err := h.follow(ctx, row, organisation, id, offset, prefix, allowTakeover, send)
-			if !shouldTryNextHost(refusal, err) {
+			refusal, err := h.follow(ctx, row, organisation, id, offset, prefix, allowTakeover, noteSend)
+			if sent || !shouldTryNextHost(refusal, err) {
 				return refusal, err
 			}
 		}
