Missing upstreams are left at the end of the grace time, not at the next change

Cause: a host keeps upstreams that are missing after an outage for 2.5 s, and only dropped them when it next applied a list. If the list did not change, other hosts just confirmed it, and the missing ones stayed in use.

--- a/persimentry/snapshots.go
+++ b/persimentry/snapshots.go
@@ -82,6 +82,9 @@
 	digest    uint64
 	// recoveredAt is when the list could be read again after no host could read it.
 	recoveredAt persimclock.Instant
+	// listed are the upstreams of the list, keptMissing is set if others are kept besides.
+	listed      []persimcatalog.Upstream
+	keptMissing bool
 }
 
 // reregisterGrace is how long after the store recovers upstreams that are missing
@@ -133,9 +136,26 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rosterState.confirmedAt = max(e.rosterState.confirmedAt, confirmedAt)
+	if e.rosterState.keptMissing && !e.keepsMissing() {
+		e.applyListed("end of the grace time")
+	}
 	e.front.ConfirmUpstreams(confirmedAt)
 }
 
+// keepsMissing reports whether upstreams that are missing in the list are kept, since they
+// may not have registered again after an outage of the store.
+func (e *entry) keepsMissing() bool {
+	return persimclock.Now().Sub(e.rosterState.recoveredAt) < reregisterGrace && e.rosterState.recoveredAt != 0
+}
+
+// applyListed applies the upstreams of the list.
+func (e *entry) applyListed(source string) {
+	e.rosterState.keptMissing = e.keepsMissing()
+	e.logRosterChanges(e.rosterState.listed, source)
+	e.roster.Apply(e.rosterState.listed, e.rosterState.keptMissing)
+	e.front.SetUpstreams(e.roster.Upstreams())
+}
+
 // applyRoster applies a list of upstreams that was the newest one at confirmedAt.
 func (e *entry) applyRoster(objects []platform.Object, revision int64, confirmedAt persimclock.Instant, source string) {
 	e.mu.Lock()
@@ -162,10 +182,8 @@
 		}
 		list = append(list, upstream)
 	}
-	keepMissing := persimclock.Now().Sub(e.rosterState.recoveredAt) < reregisterGrace && e.rosterState.recoveredAt != 0
-	e.logRosterChanges(list, source)
-	e.roster.Apply(list, keepMissing)
-	e.front.SetUpstreams(e.roster.Upstreams())
+	e.rosterState.listed = list
+	e.applyListed(source)
 	e.front.ConfirmUpstreams(confirmedAt)
 }
 
