--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -57,7 +57,7 @@
 	retriedAttempts int
 	upstream        string
 	usageCounted    bool
-	// crashCheck tells whether the last upstream crashed as it began to respond.
+	// crashCheck is the check whether the last upstream crashed as it began to respond.
 	crashCheck *breaks
 }
 
@@ -66,11 +66,11 @@
 	status     int
 	cause      string
 	retryDelay time.Duration
-	// longDelay is set if retryDelay is told as it is, beyond maxRetryAfter.
+	// longDelay is set if retryDelay may exceed maxRetryAfter.
 	longDelay bool
 }
 
-// retryAfter returns the time after which the caller is told to come back.
+// retryAfter returns the delay that the Retry-After header asks for.
 func (r refusal) retryAfter() time.Duration {
 	if r.longDelay {
 		return withJitter(r.retryDelay)
--- a/persimfront/crash.go
+++ b/persimfront/crash.go
@@ -47,7 +47,7 @@
 	crashed bool
 }
 
-// crashWatch tells crashes of upstreams from responses that break off for other reasons:
+// crashWatch distinguishes crashes of upstreams from responses that break off for other reasons:
 // an upstream that has crashed refuses connections.
 type crashWatch struct {
 	pool persimconn.Pool
--- a/persimfront/drain_test.go
+++ b/persimfront/drain_test.go
@@ -17,7 +17,7 @@
 
 func unwrapped(conn net.Conn) net.Conn { return conn }
 
-// beginDrain starts a drain as a planned stop does and returns where its end is told.
+// beginDrain starts a drain as a planned stop does and returns a channel for its result.
 func beginDrain(h *harness) <-chan error {
 	done := make(chan error, 1)
 	h.front.DisableKeepAlives()
@@ -49,7 +49,7 @@
 }
 
 // TestRequestAfterAStreamThatOutlastsADrainIsAnswered guards against a request without an
-// answer on a connection whose caller was not told that it closes.
+// answer on a connection that did not announce its close.
 func TestRequestAfterAStreamThatOutlastsADrainIsAnswered(t *testing.T) {
 	finish := make(chan struct{})
 	h := newHarness(t, newFakeUpstream(t, "w1", func(conn net.Conn, req *http.Request, body []byte) bool {
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -83,7 +83,7 @@
 	Loads    map[uint64]persimplace.PeerLoad
 	Reports  map[uint64]persimplace.TimedReport
 	Admitted map[string]float64
-	// Crashes tells which prompt parts crash upstreams.
+	// Crashes is the evidence of prompt parts that crash upstreams.
 	Crashes persimquarantine.Evidence
 }
 
--- a/persimquarantine/crash.go
+++ b/persimquarantine/crash.go
@@ -44,22 +44,22 @@
 
 func (cs *crashes) empty() bool { return len(cs.list) == 0 }
 
-// add adds a crash, or merges what is told of a known one.
-func (cs *crashes) add(told crash) {
-	if len(told.parts) == 0 {
+// add adds a crash, or merges a report of a known one.
+func (cs *crashes) add(report crash) {
+	if len(report.parts) == 0 {
 		return
 	}
-	merged := told
-	at := slices.IndexFunc(cs.list, func(c crash) bool { return c.upstream == told.upstream })
+	merged := report
+	at := slices.IndexFunc(cs.list, func(c crash) bool { return c.upstream == report.upstream })
 	if at >= 0 {
 		previous := cs.list[at]
-		if previous.covers(told) {
+		if previous.covers(report) {
 			return
 		}
 		merged.learnedAt = previous.learnedAt
-		merged.time = previous.time.earlier(told.time)
-		merged.begun = previous.begun || told.begun
-		merged.parts = previous.partsWith(told)
+		merged.time = previous.time.earlier(report.time)
+		merged.begun = previous.begun || report.begun
+		merged.parts = previous.partsWith(report)
 		cs.remove(at)
 	}
 	merged.parts = cs.limit(merged.upstream, slices.Compact(slices.Sorted(slices.Values(merged.parts))))
@@ -158,23 +158,23 @@
 	return ok
 }
 
-// partsWith returns the parts of what is known and told of a crash. Requests to which the
+// partsWith returns the parts of a known crash and of a report of it. Requests to which the
 // answer had begun leave no suspicion on the others.
-func (c crash) partsWith(told crash) []uint64 {
+func (c crash) partsWith(report crash) []uint64 {
 	switch {
-	case c.begun && !told.begun:
+	case c.begun && !report.begun:
 		return c.parts
-	case told.begun && !c.begun:
-		return told.parts
+	case report.begun && !c.begun:
+		return report.parts
 	default:
-		return slices.Concat(c.parts, told.parts)
+		return slices.Concat(c.parts, report.parts)
 	}
 }
 
-// covers reports whether nothing new is told of the crash.
-func (c crash) covers(told crash) bool {
-	if c.time.earlier(told.time) != c.time || told.begun && !c.begun {
+// covers reports whether the report adds nothing to the crash.
+func (c crash) covers(report crash) bool {
+	if c.time.earlier(report.time) != c.time || report.begun && !c.begun {
 		return false
 	}
-	return c.begun && !told.begun || !slices.ContainsFunc(told.parts, func(part uint64) bool { return !c.has(part) })
+	return c.begun && !report.begun || !slices.ContainsFunc(report.parts, func(part uint64) bool { return !c.has(part) })
 }
--- a/persimquarantine/evidence.go
+++ b/persimquarantine/evidence.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Evidence is what a host tells another about crashes.
+// Evidence is what a host sends to another about crashes.
 type Evidence struct {
 	Crashes     []Crash
 	Successes   []Success
@@ -37,7 +37,7 @@
 }
 
 // minSuccessCrashes is the number of crashes from which on the last success of a part is
-// told: it matters to the choice between parts that are in several.
+// sent: it matters to the choice between parts that are in several.
 const minSuccessCrashes = 2
 
 // maxSuccessHops is the number of hops after which a success counts for nothing. It lets
@@ -48,28 +48,28 @@
 func (q *quarantine) Evidence(now time.Time) Evidence {
 	q.evaluate(now)
 	var e Evidence
-	told := map[uint64]bool{}
+	relevant := map[uint64]bool{}
 	for _, c := range q.crashes.list {
 		parts := c.parts
 		if part, ok := q.explanation(c); ok {
 			parts = []uint64{part}
 		}
 		for _, part := range parts {
-			told[part] = told[part] || q.crashes.counts[part] >= minSuccessCrashes
+			relevant[part] = relevant[part] || q.crashes.counts[part] >= minSuccessCrashes
 		}
 		if c.time.exportable() {
 			e.Crashes = append(e.Crashes, Crash{Time: c.time.export(now), Upstream: c.upstream, Begun: c.begun, Parts: parts})
 		}
 	}
 	for part := range q.quarantined {
-		told[part] = true
+		relevant[part] = true
 	}
 	for _, part := range q.heldParts() {
 		if h := q.quarantined[part]; h.crash.exportable() {
 			e.Quarantined = append(e.Quarantined, h.export(now, part))
 		}
 	}
-	for part, several := range told {
+	for part, several := range relevant {
 		if success := q.successes.last(part); several && success.exportable() {
 			e.Successes = append(e.Successes, Success{Time: success.export(now), Part: part})
 		}
--- a/persimquarantine/hold.go
+++ b/persimquarantine/hold.go
@@ -19,8 +19,8 @@
 	// forgetAfter is the time without a probe, once every host may send one, after which a
 	// part is forgotten.
 	forgetAfter = time.Minute
-	// tellRelease is the time for which the success that released a part is told.
-	tellRelease = 10 * time.Second
+	// releaseTTL is the time for which the success that released a part is sent.
+	releaseTTL = 10 * time.Second
 )
 
 // hold is what is known of a quarantined part.
@@ -67,7 +67,7 @@
 
 // over reports whether nothing more is to be known of the part.
 func (h *hold) over(now time.Time, hosts int) bool {
-	return h.released() && now.Sub(h.releasedAt) >= tellRelease || now.After(h.forgetAt(hosts))
+	return h.released() && now.Sub(h.releasedAt) >= releaseTTL || now.After(h.forgetAt(hosts))
 }
 
 func spread(hosts int) time.Duration { return time.Duration(hosts) * probeSpread }
--- a/persimquarantine/stamp.go
+++ b/persimquarantine/stamp.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxTransit is the longest time that a message between hosts takes. What it tells
-	// seems to be later by up to as much.
+	// maxTransit is the longest time that a message between hosts takes. The times
+	// in it seem to be later by up to as much.
 	maxTransit = 700 * time.Millisecond
 	// maxHops is the number of hosts after which a time is not passed on, so that none can
 	// go round for ever and seem new each time.
@@ -33,7 +33,7 @@
 	return s
 }
 
-// earlier returns a time that is known from both, as exactly as they tell it.
+// earlier returns a time that is known from both, as exactly as either knows it.
 func (s stamp) earlier(received stamp) stamp {
 	if received.at.Before(s.at) {
 		s.at = received.at
@@ -42,10 +42,10 @@
 	return s
 }
 
-// Time is a time in the past as one host tells it to another.
+// Time is a time in the past as one host sends it to another.
 type Time struct {
 	Age time.Duration
-	// Hops is the number of messages that brought it to the teller.
+	// Hops is the number of messages that brought it to the sender.
 	Hops int
 }
 
--- a/persimquarantine/suspect.go
+++ b/persimquarantine/suspect.go
@@ -16,11 +16,11 @@
 	// momentsToQuarantine is the number of moments after which a part is quarantined.
 	momentsToQuarantine = 3
 	// momentsAfterSuccess is the same for a part that is known to have succeeded before: one
-	// that two culprits share reaches it after one of them.
+	// that two crashing parts share reaches it after one of them.
 	momentsAfterSuccess = 5
 	// settleTime is the time after which a host that learned of a crash has heard what the
 	// others know of it, and of successes before and after it. A crash counts from then on:
-	// until the request with the culprit is known, a sound part seems to be in more crashes.
+	// until the request that caused it is known, a sound part seems to be in more crashes.
 	settleTime = 1400 * time.Millisecond
 )
 
@@ -45,7 +45,7 @@
 	// asked is the number of requests with the part since the first crash.
 	asked int
 	// begun is the number of crashes in which the answer to a request with the part had
-	// begun, settled that of the crashes of which all hosts have told.
+	// begun, settled that of the crashes that all hosts have heard of by now.
 	begun, settled               int
 	begunMoments, settledMoments moments
 }
@@ -62,8 +62,9 @@
 }
 
 // compareSuspects orders suspects, the likeliest first. A part that succeeded before comes
-// after all that never did: one that culprits share is in more crashes than each of them.
-// Of two that always came together, fewer requests have the one that is later in the prompt.
+// after all that never did: one that crashing parts share is in more crashes than each of
+// them. Of two that always came together, fewer requests have the one that is later in the
+// prompt.
 func compareSuspects(a, b *suspect) int {
 	return cmp.Or(cmp.Compare(a.succeeded(), b.succeeded()), cmp.Compare(b.begun, a.begun),
 		cmp.Compare(b.settledMoments.count, a.settledMoments.count), a.lastSuccess.Compare(b.lastSuccess),
