--- a/persimquarantine/suspect.go
+++ b/persimquarantine/suspect.go
@@ -18,8 +18,8 @@
 	// momentsAfterSuccess is the same for a part that is known to have succeeded before: one
 	// that two crashing parts share reaches it after one of them.
 	momentsAfterSuccess = 5
-	// settleTime is the time after which a host that learned of a crash has heard what the
-	// others know of it, and of successes before and after it. A crash counts from then on:
+	// settleTime is the time after which a host that learned of a crash has received what
+	// the others know of it, and of successes before and after it. A crash counts from then on:
 	// until the request that caused it is known, a sound part seems to be in more crashes.
 	settleTime = 1400 * time.Millisecond
 )
@@ -45,7 +45,7 @@
 	// asked is the number of requests with the part since the first crash.
 	asked int
 	// begun is the number of crashes in which the answer to a request with the part had
-	// begun, settled that of the crashes that all hosts have heard of by now.
+	// begun, settled that of the crashes that have reached all hosts by now.
 	begun, settled               int
 	begunMoments, settledMoments moments
 }
--- a/persimsoak/caller.go
+++ b/persimsoak/caller.go
@@ -113,7 +113,7 @@
 }
 
 // drawIdleTime returns a random time up to four fifths of the idle timeout, or around
-// a short idle timeout, where a request may meet the close of its connection.
+// a short idle timeout, where a request may arrive while its connection is being closed.
 func (c *caller) drawIdleTime() time.Duration {
 	timeout := c.system.operator.shortestIdleTimeout()
 	if timeout <= maxMetTimeout && c.random.IntN(meetInterval) > 0 {
