Log, count and tell other hosts what upstreams ask for in their responses

Every response of an upstream now goes through one function (call.exchange): refusals, resumed streams and answers to other requests too. platform decodes the three headers, persimpressure keeps what they ask for and hosts tell each other of limits. A line 'upstream asks' tells each begin, change and end, the gauges upstreams_limited, upstreams_leaving and upstreams_waiting how many ask.

What an upstream asks for changes nothing yet but that it is marked as leaving: the placer has a gate that is open.

--- a/persimcatalog/upstream.go
+++ b/persimcatalog/upstream.go
@@ -1,5 +1,11 @@
 package persimcatalog
 
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Incarnation identifies one run of an upstream, from its start to its end.
 type Incarnation struct {
 	ID string
@@ -7,6 +13,11 @@
 	Born int64
 }
 
+// Hash returns the number that identifies the incarnation in messages between hosts.
+func (i Incarnation) Hash() uint64 {
+	return xxhash.Sum64String(i.ID + "/" + strconv.FormatInt(i.Born, 10))
+}
+
 // Upstream is one entry of the list of upstreams.
 type Upstream struct {
 	Incarnation
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -137,7 +137,8 @@
 		persimfront.WithCentre(deployment.Centre),
 		persimfront.WithPool(pool),
 		persimfront.WithCounter(usageCounter{e}),
-		persimfront.WithMetrics(metrics))
+		persimfront.WithMetrics(metrics),
+		persimfront.WithOnLeaving(e.markLeaving))
 	cleanup := func() {
 		closeDuties()
 		closeObjects()
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -167,6 +167,7 @@
 		Memory:        e.deployment.MemoryBytes,
 		Reports:       encodeReports(local.Reports),
 		CrashEvidence: encodeEvidence(local.Crashes),
+		Limits:        encodeLimits(local.Pressure),
 		Catalogue:     &persimwire.Snapshot{Version: e.rawCatalogue.version, AgeMs: unknownAge},
 		Roster: &persimwire.Snapshot{
 			Version: e.rosterState.revision,
--- a/persimentry/hosts.go
+++ b/persimentry/hosts.go
@@ -204,9 +204,12 @@
 	e.shareHosts()
 }
 
-// shareHosts tells the front the other hosts: in a large deployment only their number.
+// shareHosts tells the front the other hosts: in a large deployment only their number, apart
+// from the names among which limits are divided.
 // The counts of single hosts and the sums of hubs replace each other.
 func (e *entry) shareHosts() {
+	names := slices.Collect(maps.Keys(e.peers))
+	e.front.SetHostNames(e.deployment.Host, names)
 	usesHubs := e.usesHubs()
 	if usesHubs != e.usedHubs {
 		e.usedHubs = usesHubs
@@ -216,7 +219,7 @@
 		e.front.SetHostCount(len(e.peers))
 		return
 	}
-	e.front.SetHosts(slices.Collect(maps.Keys(e.peers)))
+	e.front.SetHosts(names)
 }
 
 // addPeer adds a host that starts an exchange before its record was read from the
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -21,6 +21,7 @@
 	e.addPeer(received)
 	e.front.RecordReports(decodeReports(received.GetReports()))
 	e.front.MergeCrashes(decodeEvidence(received.GetCrashEvidence()))
+	e.front.MergePressure(received.GetHost(), decodeLimits(received.GetLimits()))
 	demand := decodeDemand(received.GetDemand())
 	e.front.AssumeSpeeds(demand)
 	e.mu.Lock()
@@ -35,6 +36,17 @@
 	e.applyLeaving(received)
 }
 
+// markLeaving marks an upstream as leaving that has said so itself.
+func (e *entry) markLeaving(incarnation persimcatalog.Incarnation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.roster.MarkLeaving(incarnation) {
+		return
+	}
+	klog.InfoS("upstream leaves", "id", incarnation.ID, "source", "itself")
+	e.front.SetUpstreams(e.roster.Upstreams())
+}
+
 // applyLeaving marks the upstreams as leaving that another host reports as leaving.
 func (e *entry) applyLeaving(received *persimwire.Exchange) {
 	changed := false
--- a/persimfront/crash.go
+++ b/persimfront/crash.go
@@ -14,7 +14,6 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimconn"
 	"persimmonport.example/persimlog"
-	"persimmonport.example/persimplace"
 )
 
 const (
@@ -115,12 +114,6 @@
 	return false
 }
 
-// incarnationHash returns the hash that identifies an incarnation of an upstream on all
-// hosts.
-func incarnationHash(incarnation persimcatalog.Incarnation) uint64 {
-	return persimplace.Hash(incarnation.ID + "/" + strconv.FormatInt(incarnation.Born, 10))
-}
-
 // recordCrash records the crash of an upstream as evidence against the prompt parts of the
 // requests that it left unanswered.
 func (f *front) recordCrash(upstream persimcatalog.Upstream, requests []unanswered) {
@@ -131,7 +124,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, request := range requests {
-		f.dispatcher.quarantine.RecordCrash(now, incarnationHash(upstream.Incarnation), request.parts, request.begun)
+		f.dispatcher.quarantine.RecordCrash(now, upstream.Hash(), request.parts, request.begun)
 	}
 }
 
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -10,6 +10,7 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimengine"
 	"persimmonport.example/persimplace"
+	"persimmonport.example/persimpressure"
 	"persimmonport.example/persimquarantine"
 	"persimmonport.example/persimquota"
 	"persimmonport.example/persimretry"
@@ -78,6 +79,7 @@
 	// observedHosts are the other hosts if each of them is observed.
 	observedHosts []string
 	quarantine    persimquarantine.Quarantine
+	pressure      persimpressure.Pressure
 	// quarantined are the prompt parts that were quarantined when it was last logged.
 	quarantined map[uint64]bool
 }
@@ -91,6 +93,7 @@
 		demand:       map[string]Demand{},
 		hostCount:    1,
 		quarantine:   persimquarantine.New(),
+		pressure:     persimpressure.New(),
 	}
 }
 
@@ -119,13 +122,25 @@
 	return placer
 }
 
-func (d *dispatcher) setUpstreams(upstreams map[string][]persimcatalog.Upstream) {
+func (d *dispatcher) setUpstreams(now time.Time, upstreams map[string][]persimcatalog.Upstream) {
 	for name, placer := range d.placers {
 		placer.SetUpstreams(upstreams[name])
 	}
 	for name, list := range upstreams {
 		d.placer(name).SetUpstreams(list)
 	}
+	d.pressure.SetUpstreams(now, incarnations(upstreams))
+}
+
+// incarnations returns the incarnations of all upstreams.
+func incarnations(upstreams map[string][]persimcatalog.Upstream) []persimcatalog.Incarnation {
+	var all []persimcatalog.Incarnation
+	for _, list := range upstreams {
+		for _, upstream := range list {
+			all = append(all, upstream.Incarnation)
+		}
+	}
+	return all
 }
 
 // allOthers is the host name under which placers keep the loads of all other hosts
@@ -195,6 +210,7 @@
 		Reports:  map[uint64]persimplace.TimedReport{},
 		Admitted: d.quotaLimiter.Admitted(),
 		Crashes:  d.crashEvidence(now),
+		Pressure: d.pressure.News(now),
 	}
 	for _, placer := range d.placers {
 		maps.Copy(state.Loads, placer.OwnLoads())
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -16,6 +16,7 @@
 	"persimmonport.example/persimconn"
 	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplace"
+	"persimmonport.example/persimpressure"
 	"persimmonport.example/persimquarantine"
 	"persimmonport.example/persimsettings"
 )
@@ -54,6 +55,12 @@
 	RecordReports(reports map[uint64]persimplace.TimedReport)
 	// MergeCrashes adds what another host knows of prompt parts that crash upstreams.
 	MergeCrashes(evidence persimquarantine.Evidence)
+	// SetHostNames sets the names of this host and of all others, among which the limits
+	// of upstreams are divided.
+	SetHostNames(self string, others []string)
+	// MergePressure adds what another host, named as the source, knows of the limits of
+	// upstreams.
+	MergePressure(source string, news []persimpressure.News)
 	// SharedState returns this host's state for the other hosts.
 	SharedState() SharedState
 	// Demand returns the rate of arriving work, by service.
@@ -85,6 +92,8 @@
 	Admitted map[string]float64
 	// Crashes is the evidence of prompt parts that crash upstreams.
 	Crashes persimquarantine.Evidence
+	// Pressure is what is known of the limits that upstreams name.
+	Pressure []persimpressure.News
 }
 
 // Counter counts the requests that started at an upstream, for the usage of each
@@ -101,6 +110,7 @@
 	counter    Counter
 	metrics    persimmetric.Metrics
 	bodyMemory int64
+	onLeaving  func(persimcatalog.Incarnation)
 }
 
 // Option configures a Front.
@@ -121,6 +131,12 @@
 // WithMetrics sets the metrics to record to.
 func WithMetrics(metrics persimmetric.Metrics) Option { return func(c *config) { c.metrics = metrics } }
 
+// WithOnLeaving sets a function that is called when an upstream says that it takes no more
+// requests.
+func WithOnLeaving(onLeaving func(persimcatalog.Incarnation)) Option {
+	return func(c *config) { c.onLeaving = onLeaving }
+}
+
 // WithBodyMemory sets the number of bytes of buffered request bodies above which
 // requests are refused.
 func WithBodyMemory(bytes int64) Option { return func(c *config) { c.bodyMemory = bytes } }
@@ -201,7 +217,7 @@
 func (f *front) SetUpstreams(upstreams map[string][]persimcatalog.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.dispatcher.setUpstreams(upstreams)
+	f.dispatcher.setUpstreams(time.Now(), upstreams)
 }
 
 func (f *front) ConfirmUpstreams(at persimclock.Instant) { f.rosterProof.confirm(at) }
@@ -252,6 +268,7 @@
 }
 
 func (f *front) SharedState() SharedState {
+	f.expireSignals()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.dispatcher.sharedState(time.Now())
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -242,7 +242,7 @@
 	if lastID != "" {
 		req.Header.Set(platform.HeaderEventID, lastID)
 	}
-	exchange, err := persimconn.Send(ctx, conn, req)
+	exchange, err := a.exchange(ctx, conn, choice.Upstream, req)
 	if err != nil {
 		a.recordBreak(ctx, "connection broke", false, 0, err)
 		return nil
--- /dev/null
+++ b/persimfront/signals.go
@@ -0,0 +1,98 @@
+package persimfront
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimconn"
+	"persimmonport.example/persimpressure"
+	"persimmonport.example/platform"
+)
+
+// exchange sends the request to an upstream and records what the upstream asks for in its
+// response.
+func (c *call) exchange(ctx context.Context, conn *persimconn.Conn, upstream persimcatalog.Upstream, req *http.Request) (*persimconn.Exchange, error) {
+	exchange, err := persimconn.Send(ctx, conn, req)
+	if err != nil {
+		return nil, err
+	}
+	c.recordSignals(upstream.Incarnation, exchange.Response)
+	return exchange, nil
+}
+
+// recordSignals records what an upstream asks for in a response.
+func (c *call) recordSignals(upstream persimcatalog.Incarnation, response *http.Response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		// The response is that of another process at the upstream's address.
+		return
+	}
+	signals := platform.DecodeSignals(response)
+	if response.Header.Get(platform.HeaderRequestID) != c.id {
+		signals = signals.WithoutEnd()
+	}
+	f := c.front
+	f.mu.Lock()
+	changes := f.dispatcher.pressure.Record(time.Now(), upstream, signals)
+	f.mu.Unlock()
+	f.applyChanges(changes, "request "+c.id)
+}
+
+func (f *front) MergePressure(source string, news []persimpressure.News) {
+	f.mu.Lock()
+	changes := f.dispatcher.pressure.Merge(time.Now(), news)
+	f.mu.Unlock()
+	f.applyChanges(changes, source)
+}
+
+func (f *front) SetHostNames(self string, others []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.pressure.SetHosts(time.Now(), self, others)
+}
+
+// expireSignals logs what upstreams no longer ask for and sets the gauges.
+func (f *front) expireSignals() {
+	now := time.Now()
+	f.mu.Lock()
+	changes := f.dispatcher.pressure.Expire(now)
+	counts := f.dispatcher.pressure.Counts(now)
+	f.mu.Unlock()
+	f.applyChanges(changes, "end of the time")
+	if f.metrics != nil {
+		f.metrics.Gauge("upstreams_limited", float64(counts.Limited))
+		f.metrics.Gauge("upstreams_leaving", float64(counts.Leaving))
+		f.metrics.Gauge("upstreams_waiting", float64(counts.Waiting))
+	}
+}
+
+// applyChanges logs what upstreams begin and end to ask for, and reports those that leave.
+func (f *front) applyChanges(changes []persimpressure.Change, source string) {
+	for _, change := range changes {
+		logChange(change, source)
+		if change.Kind == persimpressure.ChangeLeaving && f.onLeaving != nil {
+			f.onLeaving(change.Upstream)
+		}
+	}
+}
+
+func logChange(change persimpressure.Change, source string) {
+	upstream := []any{"upstream", change.Upstream.ID, "born", change.Upstream.Born}
+	var details []any
+	switch change.Kind {
+	case persimpressure.ChangeLimit:
+		details = []any{"perSecond", change.Limit, "holder", change.Held, "age", change.Age}
+	case persimpressure.ChangeLimitEnd:
+		details = []any{"age", change.Age}
+	case persimpressure.ChangeWait:
+		details = []any{"wait", change.Wait}
+	case persimpressure.ChangeMalformed:
+		details = []any{"header", change.Header}
+	case persimpressure.ChangeLeaving, persimpressure.ChangeWaitEnd:
+	}
+	details = append(append(upstream, "what", string(change.Kind), "source", source), details...)
+	klog.InfoS("upstream asks", details...)
+}
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -54,8 +54,21 @@
 	ejectionTime    time.Duration
 	random          *rand.Rand
 	model           persimengine.Model
+	gate            Gate
 }
 
+// Gate decides which upstreams take requests.
+type Gate interface {
+	// Check returns how long an upstream, named by the hash of its incarnation, takes no
+	// request and false, or true if it takes one now. The time is zero if it is not known.
+	Check(now time.Time, upstream uint64) (time.Duration, bool)
+}
+
+// openGate lets all upstreams take requests.
+type openGate struct{}
+
+func (openGate) Check(time.Time, uint64) (time.Duration, bool) { return 0, true }
+
 // Option changes the configuration of a placer.
 type Option func(*config)
 
@@ -65,6 +78,9 @@
 // WithModel sets the model that learns the speed of the service's engines.
 func WithModel(model persimengine.Model) Option { return func(c *config) { c.model = model } }
 
+// WithGate sets what decides which upstreams take requests.
+func WithGate(gate Gate) Option { return func(c *config) { c.gate = gate } }
+
 // Part is a section of a prompt that several requests may share.
 type Part struct {
 	ID     uint64
@@ -101,6 +117,10 @@
 	// of the engine.
 	pendingTokens int
 	measurable    bool
+	// Closed is the number of upstreams that were left out since they take no requests now,
+	// Wait the shortest time until one of them does, or zero if it is not known.
+	Closed int
+	Wait   time.Duration
 }
 
 // Outcome says how an attempt ended.
@@ -142,7 +162,8 @@
 	// SetCacheCapacity sets the prompt cache capacity of an upstream, in tokens. It is zero
 	// for a plain service.
 	SetCacheCapacity(capacity int)
-	// Choose returns the upstream with the least expected time to the first byte.
+	// Choose returns the upstream with the least expected time to the first byte, or false
+	// with what is known of those that take no requests now.
 	Choose(now time.Time, request Request) (Choice, bool)
 	// StartAttempt records the start of an attempt at a chosen upstream.
 	StartAttempt(now time.Time, request Request, choice Choice) *Ticket
@@ -195,6 +216,7 @@
 		ejectionTime:    DefaultEjectionTime,
 		random:          rand.New(rand.NewPCG(1, 2)),
 		model:           persimengine.New(),
+		gate:            openGate{},
 	}
 	for _, opt := range opts {
 		opt(&c)
@@ -209,7 +231,7 @@
 	for _, upstream := range upstreams {
 		existing, ok := p.byID[upstream.ID]
 		if !ok || existing.Incarnation != upstream.Incarnation || existing.Address != upstream.Address {
-			existing = newUpstreamState(upstream.ID)
+			existing = newUpstreamState(upstream)
 		}
 		existing.Upstream = upstream
 		kept[upstream.ID] = existing
@@ -236,7 +258,7 @@
 
 func (p *placer) Choose(now time.Time, request Request) (Choice, bool) {
 	best, ok := p.choose(now, request, false)
-	if !ok {
+	if !ok && best.Wait == 0 {
 		best, ok = p.choose(now, request, true)
 	}
 	return best, ok
@@ -248,10 +270,18 @@
 	preferred := p.preferred(request)
 	var best Choice
 	var bestCost time.Duration
+	var closed closedUpstreams
 	found := false
 	ejectionsLeft := p.maxEjected()
 	for _, s := range p.sorted {
-		if s.Leaving || slices.Contains(request.Exclude, s.ID) {
+		if s.Leaving {
+			continue
+		}
+		if wait, open := p.gate.Check(now, s.key); !open {
+			closed.add(wait)
+			continue
+		}
+		if slices.Contains(request.Exclude, s.ID) {
 			continue
 		}
 		if !includeEjected && s.ejected(now) && ejectionsLeft > 0 {
@@ -264,9 +294,24 @@
 			best, bestCost, found = choice, cost, true
 		}
 	}
+	best.Closed, best.Wait = closed.count, closed.wait
 	return best, found
 }
 
+// closedUpstreams are the upstreams that take no requests now.
+type closedUpstreams struct {
+	count int
+	// wait is the shortest time until one of them does, or zero if none is known.
+	wait time.Duration
+}
+
+func (c *closedUpstreams) add(wait time.Duration) {
+	c.count++
+	if wait > 0 && (c.wait == 0 || wait < c.wait) {
+		c.wait = wait
+	}
+}
+
 // maxEjected returns the number of upstreams that may be ejected at a time.
 func (p *placer) maxEjected() int {
 	usable, _ := p.Count()
@@ -354,7 +399,7 @@
 func (p *placer) StartAttempt(now time.Time, request Request, choice Choice) *Ticket {
 	s, ok := p.byID[choice.Upstream.ID]
 	if !ok {
-		s = newUpstreamState(choice.Upstream.ID)
+		s = newUpstreamState(choice.Upstream)
 		s.Upstream = choice.Upstream
 	}
 	t := &Ticket{state: s, request: request, prefillTokens: choice.PrefillTokens, sentAt: now, expected: choice.Expected, pendingTokens: choice.pendingTokens, measurable: choice.measurable}
--- a/persimplace/state.go
+++ b/persimplace/state.go
@@ -12,7 +12,9 @@
 // upstreamState is the state that a placer keeps of one upstream.
 type upstreamState struct {
 	persimcatalog.Upstream
+	// hash is the hash of the id, key that of the incarnation.
 	hash       uint64
+	key        uint64
 	ownLoad    PeerLoad
 	report     Report
 	reportedAt time.Time
@@ -25,8 +27,8 @@
 	lastResponse        time.Time
 }
 
-func newUpstreamState(id string) *upstreamState {
-	return &upstreamState{hash: Hash(id), cache: promptCache{}}
+func newUpstreamState(upstream persimcatalog.Upstream) *upstreamState {
+	return &upstreamState{Upstream: upstream, hash: Hash(upstream.ID), key: upstream.Hash(), cache: promptCache{}}
 }
 
 func (s *upstreamState) addAttempt(t *Ticket) {
