Failing test: an upstream gets more than the limit it names

One host at 50 requests a second with two upstreams, one of which names 2.5 a second: 66 requests in 3 s, allowed 16. Three hosts that tell each other their state each 200 ms, at a limit of 1 a second: 224, allowed 9. Callers must not notice, and half of the limit must be used.

--- /dev/null
+++ b/persimfront/signals_test.go
@@ -0,0 +1,131 @@
+package persimfront
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// loadInterval is the time between two requests to each host.
+	loadInterval = 20 * time.Millisecond
+	testGossip   = 200 * time.Millisecond
+	// An upstream that names a limit may get allowedFactor times what that allows, and
+	// allowedRequests more.
+	allowedFactor   = 1.5
+	allowedRequests = 5
+)
+
+// respondAsking returns a handler that responds with success and with headers by which the
+// upstream asks for something.
+func respondAsking(headers string) func(net.Conn, *http.Request, []byte) bool {
+	return respondWith("200 OK", headers+signatureHeader+"Content-Length: 4\r\n\r\ngood", true)
+}
+
+// applyLoad sends requests to each host at an interval for a time and returns the number of
+// responses of each status.
+func applyLoad(t *testing.T, path string, length time.Duration, hosts ...*harness) map[int]int {
+	t.Helper()
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var wg sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(loadInterval) {
+		for _, h := range hosts {
+			wg.Go(func() {
+				status := 0
+				if resp, _, err := h.get(t, "GET", path, ""); err == nil {
+					status = resp.StatusCode
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+			})
+		}
+	}
+	wg.Wait()
+	return statuses
+}
+
+// newHarnesses returns hosts that use the same upstreams and tell each other their state
+// until the test ends.
+func newHarnesses(t *testing.T, count int, fakes ...*fakeUpstream) []*harness {
+	t.Helper()
+	var hosts []*harness
+	for range count {
+		hosts = append(hosts, newHarness(t, fakes...))
+	}
+	for i, h := range hosts {
+		var others []string
+		for j := range hosts {
+			if j != i {
+				others = append(others, fmt.Sprint(j))
+			}
+		}
+		h.front.SetHostNames(fmt.Sprint(i), others)
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { gossip(hosts, stop) })
+	t.Cleanup(func() {
+		close(stop)
+		wg.Wait()
+	})
+	return hosts
+}
+
+// gossip lets hosts tell each other their state at an interval.
+func gossip(hosts []*harness, stop <-chan struct{}) {
+	ticker := time.NewTicker(testGossip)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		for i, from := range hosts {
+			state := from.front.SharedState()
+			for j, to := range hosts {
+				if i != j {
+					to.front.MergePressure(fmt.Sprint(i), state.Pressure)
+				}
+			}
+		}
+	}
+}
+
+// TestUpstreamGetsNoMoreThanTheLimitItNames guards against hosts that send an upstream more
+// than the limit that it has named to them.
+func TestUpstreamGetsNoMoreThanTheLimitItNames(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		limit float64
+	}{
+		"one host":    {hosts: 1, limit: 2.5},
+		"three hosts": {hosts: 3, limit: 1},
+	}
+	const (
+		told   = time.Second
+		length = 3 * time.Second
+	)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			limited := newFakeUpstream(t, "w1", respondAsking(fmt.Sprintf("Server-Limit: %g\r\n", tt.limit)))
+			free := newFakeUpstream(t, "w2", respondOK())
+			hosts := newHarnesses(t, tt.hosts, limited, free)
+			applyLoad(t, "/safe/", told, hosts...)
+			before := len(limited.requests())
+			statuses := applyLoad(t, "/safe/", length, hosts...)
+			got := len(limited.requests()) - before
+			require.LessOrEqual(t, float64(got), allowedFactor*tt.limit*length.Seconds()+allowedRequests)
+			require.GreaterOrEqual(t, float64(got), tt.limit*length.Seconds()/2, "most of the limit is used")
+			require.Len(t, statuses, 1, "callers are served by the other upstream: %v", statuses)
+			require.Positive(t, statuses[http.StatusOK])
+		})
+	}
+}
