Hosts keep the limit that an upstream names, together

What callers saw: nothing.

Cause: no code read the header. Class: what an upstream says of itself in a response reaches only the code that handles that response, and what hosts must keep together has no owner.

Others leave the upstream out and send elsewhere at once; where there is no other, they refuse with the wait.

--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -73,7 +73,7 @@
 // retryAfter returns the delay that the Retry-After header asks for.
 func (r refusal) retryAfter() time.Duration {
 	if r.longDelay {
-		return withJitter(r.retryDelay)
+		return withJitter(max(r.retryDelay, minRetryAfter))
 	}
 	return withJitter(min(max(r.retryDelay, minRetryAfter), maxRetryAfter))
 }
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -116,7 +116,9 @@
 func (d *dispatcher) placer(service string) persimplace.Placer {
 	placer, ok := d.placers[service]
 	if !ok {
-		placer = persimplace.New(persimplace.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), 1))))
+		placer = persimplace.New(
+			persimplace.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), 1))),
+			persimplace.WithGate(d.pressure))
 		d.placers[service] = placer
 	}
 	return placer
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -138,8 +138,9 @@
 		return persimplace.Choice{}, refused
 	}
 	choice, ok := f.dispatcher.placer(c.service).Choose(now, c.placement)
+	c.countClosed(choice)
 	if !ok {
-		return choice, &refusal{status: http.StatusServiceUnavailable, cause: "no upstream", retryDelay: maxRetryAfter}
+		return choice, refusalWithoutUpstream(choice)
 	}
 	maxWait := min(c.deadline.Sub(now), c.maxExpectedWait())
 	firstAttempt := c.attempts+c.connectFailures == 0
@@ -152,9 +153,25 @@
 			status: http.StatusServiceUnavailable, cause: "upstreams are full", retryDelay: choice.Expected - maxWait,
 		}
 	}
+	f.dispatcher.pressure.Take(now, choice.Upstream.Hash())
 	return choice, nil
 }
 
+// refusalWithoutUpstream returns the refusal of a request for which there is no upstream.
+func refusalWithoutUpstream(choice persimplace.Choice) *refusal {
+	if choice.Wait > 0 {
+		return &refusal{status: http.StatusServiceUnavailable, cause: "upstreams ask to wait", retryDelay: choice.Wait, longDelay: true}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, cause: "no upstream", retryDelay: maxRetryAfter}
+}
+
+// countClosed counts a request for which upstreams that ask for it were left out.
+func (c *call) countClosed(choice persimplace.Choice) {
+	if choice.Closed > 0 && c.front.metrics != nil {
+		c.front.metrics.Count("requests_sent_elsewhere")
+	}
+}
+
 // maxExpectedWait returns the expected time to the first response beyond which the
 // request is refused rather than sent.
 func (c *call) maxExpectedWait() time.Duration {
@@ -173,6 +190,7 @@
 	f := c.front
 	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		c.returnUnsent(choice)
 		return resultNotRun, nil, "canceled while connecting"
 	}
 	if err != nil {
@@ -183,6 +201,7 @@
 	// The host may have stood still while it connected.
 	if f.upstreamsTooOld() {
 		conn.Release(0)
+		c.returnUnsent(choice)
 		c.connectFailures++
 		return resultNotRun, nil, "list of upstreams is old"
 	}
@@ -209,6 +228,14 @@
 	return a.handleResponse(ctx, w, exchange)
 }
 
+// returnUnsent takes back that a request is sent to the chosen upstream.
+func (c *call) returnUnsent(choice persimplace.Choice) {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.pressure.Return(choice.Upstream.Hash())
+}
+
 // recordConnectFailure closes the idle connections to an upstream that could not be
 // connected to and records the failure with the placer.
 func (c *call) recordConnectFailure(upstream persimcatalog.Upstream, outcome persimplace.Outcome, choice persimplace.Choice) {
@@ -216,6 +243,7 @@
 	f.pool.CloseIdle(upstream.Address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.dispatcher.pressure.Return(choice.Upstream.Hash())
 	placer := f.dispatcher.placer(c.service)
 	now := time.Now()
 	placer.EndAttempt(now, placer.StartAttempt(now, c.placement, choice), outcome)
--- a/persimpressure/pressure.go
+++ b/persimpressure/pressure.go
@@ -210,13 +210,10 @@
 	if !ok {
 		return 0, true
 	}
-	if s.leaving {
-		return 0, false
-	}
-	wait := max(0, s.waitUntil.Sub(now))
-	if s.limit.named {
-		wait = max(wait, s.limit.wait(now))
+	if !s.limit.named {
+		return 0, true
 	}
+	wait := s.limit.wait(now)
 	return wait, wait == 0
 }
 
