An upstream that says it leaves gets no more requests

Hosts learned of a leave only from the store, which they may be unable to read.

Fix: the incarnation is closed for this host at once, whichever response brought it (a success, a server error, a refusal, a stream), and the entry marks it as leaving in its list, from where the planner and the other hosts learn it. The requests in progress go on; a next incarnation starts anew.

Test: TestUpstreamThatSaysItLeavesGetsNothingMore, four kinds of response; three failed before (26, 22 and 27 requests in place of 6, 7 and 10), the one with server errors passed since the upstream was ejected.

--- a/persimfront/signals_test.go
+++ b/persimfront/signals_test.go
@@ -129,3 +129,37 @@
 		})
 	}
 }
+
+// settleTime is the time after the first response within which a host acts on it at the
+// latest.
+const settleTime = 300 * time.Millisecond
+
+// TestUpstreamThatSaysItLeavesGetsNothingMore guards against requests to an upstream that
+// leaves and says so in its responses only.
+func TestUpstreamThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		respond func(net.Conn, *http.Request, []byte) bool
+	}{
+		"response": {path: "/safe/", respond: respondAsking("Server-Leaving: 1\r\n")},
+		"refusal": {path: "/safe/", respond: respondWith("503 Service Unavailable",
+			"X-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n", true)},
+		"server error": {path: "/safe/", respond: respondWith("500 Internal Server Error",
+			"Server-Leaving: 1\r\n"+signatureHeader+"Content-Length: 0\r\n\r\n", true)},
+		"stream": {path: "/stream/", respond: respondWith("200 OK", "Server-Leaving: 1\r\n"+signatureHeader+
+			"Content-Type: text/event-stream\r\nContent-Length: 12\r\n\r\nid: 1\ndata\n\n", true)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			leaving := newFakeUpstream(t, "w1", tt.respond)
+			h := newHarness(t, leaving, newFakeUpstream(t, "w2", respondOK()))
+			applyLoad(t, tt.path, settleTime, h)
+			before := len(leaving.requests())
+			require.Positive(t, before)
+			statuses := applyLoad(t, tt.path, time.Second, h)
+			require.Equal(t, before, len(leaving.requests()), "requests")
+			require.Len(t, statuses, 1, "the other upstream serves all callers: %v", statuses)
+			require.Positive(t, statuses[http.StatusOK])
+		})
+	}
+}
--- a/persimpressure/pressure.go
+++ b/persimpressure/pressure.go
@@ -210,6 +210,9 @@
 	if !ok {
 		return 0, true
 	}
+	if s.leaving {
+		return 0, false
+	}
 	if !s.limit.named {
 		return 0, true
 	}
