An upstream that asks to wait gets nothing until then, and callers are told

In our tests 26 and 38 requests in place of 6 and 11, and callers were told 0.13 s where all upstreams had asked for 5.

Cause: the header of a refusal was not read; the refusal only counted as an attempt. Where all upstreams that are left have asked to wait the request is refused at once with the shortest wait; an ejected upstream is no way out then. A request that was turned away goes to another upstream as before. A caller that is refused after attempts is told the same wait.

Tests failed before: TestUpstreamThatAsksToWaitIsLeftAlone, TestCallersAreRefusedAtOnceWithTheWaitThatUpstreamsAskFor, TestWaitingUpstreamIsNoFallbackForAnEjectedOne (61 requests in place of 12), TestResumedStreamHeedsWhatUpstreamsAskFor (64 in place of 15).

--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -98,10 +98,25 @@
 		c.refuse(w, refusal{status: http.StatusBadGateway, cause: cause})
 	default:
 		c.refund()
-		c.refuse(w, refusal{status: http.StatusServiceUnavailable, cause: cause, retryDelay: minRetryAfter})
+		c.refuse(w, refusal{status: http.StatusServiceUnavailable, cause: cause, retryDelay: c.wait(), longDelay: true})
 	}
 }
 
+// wait returns the time until an upstream takes a request that none has run, or zero if one
+// does now.
+func (c *call) wait() time.Duration {
+	f := c.front
+	request := c.placement
+	request.Exclude = nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	choice, ok := f.dispatcher.placer(c.service).Choose(time.Now(), request)
+	if ok {
+		return 0
+	}
+	return choice.Wait
+}
+
 // endCause returns why a request was ended by this host.
 func (c *call) endCause() string {
 	if c.front.aborted.Err() != nil {
--- a/persimfront/signals_test.go
+++ b/persimfront/signals_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -130,6 +131,11 @@
 	}
 }
 
+// respondAskingToWait returns a handler that turns requests away for a time.
+func respondAskingToWait(wait string) func(net.Conn, *http.Request, []byte) bool {
+	return respondWith("503 Service Unavailable", "X-Not-Executed: 1\r\nRetry-After: "+wait+"\r\nContent-Length: 0\r\n\r\n", true)
+}
+
 // settleTime is the time after the first response within which a host acts on it at the
 // latest.
 const settleTime = 300 * time.Millisecond
@@ -163,3 +169,82 @@
 		})
 	}
 }
+
+// TestUpstreamThatAsksToWaitIsLeftAlone guards against requests to an upstream before the
+// time for which it has asked is over.
+func TestUpstreamThatAsksToWaitIsLeftAlone(t *testing.T) {
+	for _, path := range []string{"/safe/", "/unsafe/"} {
+		t.Run(path, func(t *testing.T) {
+			waiting := newFakeUpstream(t, "w1", respondAskingToWait("1.8"))
+			h := newHarness(t, waiting, newFakeUpstream(t, "w2", respondOK()))
+			statuses := applyLoad(t, path, settleTime, h)
+			before := len(waiting.requests())
+			require.Positive(t, before)
+			for status, count := range applyLoad(t, path, time.Second, h) {
+				statuses[status] += count
+			}
+			require.Equal(t, before, len(waiting.requests()), "requests")
+			require.Len(t, statuses, 1, "the other upstream serves all callers: %v", statuses)
+			require.Eventually(t, func() bool {
+				applyLoad(t, path, loadInterval, h)
+				return len(waiting.requests()) > before
+			}, 3*time.Second, loadInterval, "the upstream is used again")
+		})
+	}
+}
+
+// TestCallersAreRefusedAtOnceWithTheWaitThatUpstreamsAskFor guards against requests that are
+// held or sent although all upstreams have asked to wait.
+func TestCallersAreRefusedAtOnceWithTheWaitThatUpstreamsAskFor(t *testing.T) {
+	tests := map[string][]string{"one upstream": {"5"}, "two upstreams": {"5", "9"}}
+	for name, waits := range tests {
+		t.Run(name, func(t *testing.T) {
+			var fakes []*fakeUpstream
+			for i, wait := range waits {
+				fakes = append(fakes, newFakeUpstream(t, fmt.Sprint("w", i), respondAskingToWait(wait)))
+			}
+			h := newHarness(t, fakes...)
+			for range 5 {
+				began := time.Now()
+				resp, _, err := h.get(t, "GET", "/safe/", "")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+				require.Less(t, time.Since(began), time.Second)
+				wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, wait, 3.0)
+				require.LessOrEqual(t, wait, 5*(1+retryAfterJitter))
+			}
+			for _, upstream := range fakes {
+				require.Len(t, upstream.requests(), 1)
+			}
+		})
+	}
+}
+
+// TestWaitingUpstreamIsNoFallbackForAnEjectedOne guards against requests that are sent to an
+// upstream that has asked to wait since the only other one is ejected.
+func TestWaitingUpstreamIsNoFallbackForAnEjectedOne(t *testing.T) {
+	waiting := newFakeUpstream(t, "w1", respondAskingToWait("5"))
+	failing := newFakeUpstream(t, "w2", respondWith("500 Internal Server Error", signatureHeader+"Content-Length: 0\r\n\r\n", true))
+	h := newHarness(t, waiting, failing)
+	applyLoad(t, "/unsafe/", settleTime, h)
+	before := len(waiting.requests())
+	applyLoad(t, "/unsafe/", time.Second, h)
+	require.Equal(t, before, len(waiting.requests()), "requests")
+}
+
+// TestResumedStreamHeedsWhatUpstreamsAskFor guards against streams that are resumed at an
+// upstream that has asked for no requests, and against responses to resumed streams whose
+// signals are not read.
+func TestResumedStreamHeedsWhatUpstreamsAskFor(t *testing.T) {
+	breaking := newFakeUpstream(t, "w1", respondWith("200 OK", signatureHeader+
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nid: 1\ndata\n\n\r\n", false))
+	waiting := newFakeUpstream(t, "w2", respondAskingToWait("5"))
+	h := newHarness(t, breaking, waiting)
+	applyLoad(t, "/resumed/", settleTime, h)
+	before := len(waiting.requests())
+	require.Positive(t, before)
+	applyLoad(t, "/resumed/", time.Second, h)
+	require.Equal(t, before, len(waiting.requests()), "requests")
+}
--- a/persimpressure/pressure.go
+++ b/persimpressure/pressure.go
@@ -213,10 +213,10 @@
 	if s.leaving {
 		return 0, false
 	}
-	if !s.limit.named {
-		return 0, true
+	wait := max(0, s.waitUntil.Sub(now))
+	if s.limit.named {
+		wait = max(wait, s.limit.wait(now))
 	}
-	wait := s.limit.wait(now)
 	return wait, wait == 0
 }
 
