A stream is continued only by a response of its own type

Cause: a response to a resumed request was checked for status, id and signature, but not for its type or an encoding; what has no type of a stream was passed on as it came. Fix: it must have the type of the first response and no encoding; the checks of first and later responses share a function.

--- a/persimfront/attempt.go
+++ b/persimfront/attempt.go
@@ -179,7 +179,7 @@
 		a.finish(persimplace.OutcomeRejected)
 		return resultNotRun, nil, "upstream refused"
 	}
-	if response.Header.Get(platform.HeaderSignature) == "" || response.Header.Get("Content-Encoding") != "" {
+	if !producedByUpstream(response.Header) {
 		exchange.Abandon()
 		a.finish(persimplace.OutcomeFailed)
 		a.countUsage()
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -166,7 +167,7 @@
 		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable || a.crashedUpstream(ctx) {
 			break
 		}
-		resumed := a.resume(ctx, writer.lastID)
+		resumed := a.resume(ctx, writer)
 		if resumed == nil {
 			break
 		}
@@ -216,9 +217,9 @@
 	}
 }
 
-// resume sends the request to another upstream, which continues after the event
-// lastID. It returns nil if that is not possible.
-func (a *attempt) resume(ctx context.Context, lastID string) *persimconn.Exchange {
+// resume sends the request to another upstream, which continues the stream after its last
+// event. It returns nil if that is not possible.
+func (a *attempt) resume(ctx context.Context, stream *eventWriter) *persimconn.Exchange {
 	if a.attempts >= a.route.MaxAttempts || !a.mayRetry() {
 		return nil
 	}
@@ -239,21 +240,38 @@
 	f.mu.Unlock()
 	a.upstream = choice.Upstream
 	req := a.upstreamRequest(ctx, choice.Upstream)
-	if lastID != "" {
-		req.Header.Set(platform.HeaderEventID, lastID)
+	if stream.lastID != "" {
+		req.Header.Set(platform.HeaderEventID, stream.lastID)
 	}
 	exchange, err := a.exchange(ctx, conn, choice.Upstream, req)
 	if err != nil {
 		a.recordBreak(ctx, "connection broke", false, 0, err)
 		return nil
 	}
-	header := exchange.Response.Header
-	if exchange.Response.StatusCode != http.StatusOK || header.Get(platform.HeaderSignature) == "" ||
-		header.Get(platform.HeaderRequestID) != a.id {
+	if !a.continues(exchange.Response, stream.header) {
+		klog.InfoS("stream not resumed", "request", a.id, "upstream", choice.Upstream.ID, "status", exchange.Response.StatusCode)
 		exchange.Abandon()
 		a.finish(persimplace.OutcomeFailed)
 		return nil
 	}
-	klog.InfoS("stream resumed", "request", a.id, "upstream", choice.Upstream.ID, "after", lastID)
+	klog.InfoS("stream resumed", "request", a.id, "upstream", choice.Upstream.ID, "after", stream.lastID)
 	return exchange
 }
+
+// continues reports whether a response can continue a stream that began with a header. A
+// response of another type is no part of the stream, whatever its status.
+func (a *attempt) continues(response *http.Response, began http.Header) bool {
+	return response.StatusCode == http.StatusOK && response.Header.Get(platform.HeaderRequestID) == a.id &&
+		producedByUpstream(response.Header) && mediaType(response.Header) == mediaType(began)
+}
+
+// producedByUpstream reports whether a response is signed and its body unaltered.
+func producedByUpstream(header http.Header) bool {
+	return header.Get(platform.HeaderSignature) != "" && header.Get("Content-Encoding") == ""
+}
+
+// mediaType returns the type of a response's body without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
