Connect side: a refusal that is written again does not mean not run

Cause: on this side nothing bound a response to its request but the order on the connection. Fix: each request carries an id that upstreams repeat. A response with another id is a broken connection; a refusal without an id counts only as the first response on its connection. The stand-ins repeat the id.

--- a/persimstand/engine.go
+++ b/persimstand/engine.go
@@ -120,7 +120,7 @@
 	mux.HandleFunc("GET /load", e.withFaults(e.serveLoad))
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
 	mux.HandleFunc("POST /fault", e.faults.handler(func() { os.Exit(1) }))
-	return mux
+	return repeatAttempt(mux)
 }
 
 // withFaults adds the incarnation to each response and injects refusals before next.
--- a/persimstand/service.go
+++ b/persimstand/service.go
@@ -55,7 +55,17 @@
 	mux.HandleFunc("GET /load", s.serveLoad)
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.ExecutedCalls()) })
 	mux.HandleFunc("POST /fault", s.faults.handler(func() { os.Exit(1) }))
-	return mux
+	return repeatAttempt(mux)
+}
+
+// repeatAttempt repeats the id of each request in its response.
+func repeatAttempt(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(persimupstream.HeaderAttempt); id != "" {
+			w.Header().Set(persimupstream.HeaderAttempt, id)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 const serviceSlots = 32
--- a/persimupstream/engine.go
+++ b/persimupstream/engine.go
@@ -143,12 +143,13 @@
 		return Usage{}, trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req, exchange := identify(req)
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return Usage{}, trace.Wrap(cancelCause(ctx, classifySendError(err)))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := classifyStatus(resp); err != nil {
+	if err := exchange.classifyStatus(resp); err != nil {
 		return Usage{}, trace.Wrap(err)
 	}
 	usage, err := readEvents(resp.Body, from, func(index int, text string) error {
@@ -240,12 +241,13 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	req, exchange := identify(req)
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return trace.Wrap(classifySendError(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := classifyStatus(resp); err != nil {
+	if err := exchange.classifyStatus(resp); err != nil {
 		return trace.Wrap(err)
 	}
 	if result == nil {
--- a/persimupstream/service.go
+++ b/persimupstream/service.go
@@ -54,12 +54,13 @@
 	if call.Fence > 0 {
 		req.Header.Set(HeaderFence, strconv.FormatUint(call.Fence, 10))
 	}
+	req, exchange := identify(req)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return nil, trace.Wrap(classifySendError(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := classifyStatus(resp); err != nil {
+	if err := exchange.classifyStatus(resp); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return readBody(resp)
--- a/persimupstream/upstream.go
+++ b/persimupstream/upstream.go
@@ -4,8 +4,11 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"time"
 )
 
@@ -34,6 +37,9 @@
 	HeaderNotRun = "X-Not-Run"
 	// HeaderIncarnation carries the incarnation of the upstream's process.
 	HeaderIncarnation = "X-Incarnation"
+	// HeaderAttempt identifies one request on a connection. Upstreams repeat it in the
+	// response, so that a response written for an earlier request is not taken for it.
+	HeaderAttempt = "X-Attempt"
 )
 
 // Defaults of clients.
@@ -111,14 +117,46 @@
 	return ErrBroken
 }
 
+// exchange is one request to an upstream and what is known of its connection.
+type exchange struct {
+	id string
+	// reused is set if the connection has carried an earlier request.
+	reused bool
+}
+
+// identify gives a request an id and returns its exchange.
+func identify(req *http.Request) (*http.Request, *exchange) {
+	e := &exchange{id: strconv.FormatUint(rand.Uint64(), 16)}
+	req.Header.Set(HeaderAttempt, e.id)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { e.reused = info.Reused }}
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), e
+}
+
+// belongs reports whether a response certainly answers the request: it repeats the id or is
+// the first one on its connection.
+func (e *exchange) belongs(resp *http.Response) bool {
+	id := resp.Header.Get(HeaderAttempt)
+	return id == e.id || id == "" && !e.reused
+}
+
+// foreign reports whether a response answers another request.
+func (e *exchange) foreign(resp *http.Response) bool {
+	id := resp.Header.Get(HeaderAttempt)
+	return id != "" && id != e.id
+}
+
 // classifyStatus returns the error that the status and headers of a response stand
 // for, or nil.
-func classifyStatus(resp *http.Response) error {
+func (e *exchange) classifyStatus(resp *http.Response) error {
 	switch {
+	case e.foreign(resp):
+		return ErrBroken
 	case resp.StatusCode == http.StatusOK:
 		return nil
-	case resp.Header.Get(HeaderNotRun) != "":
+	case resp.Header.Get(HeaderNotRun) != "" && e.belongs(resp):
 		return ErrNotRun
+	case resp.Header.Get(HeaderNotRun) != "":
+		return ErrBroken
 	case resp.StatusCode == http.StatusNotFound:
 		return ErrUnknownStream
 	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError:
