Soak: upstreams name limits, ask to wait and say that they leave, with checkers

The stand-in of the platform's upstreams says all three; the soak draws such events from a random stream of their own, so that the other events of a seed stay as they were, and checks each rule from what upstreams receive and callers get: a limit (1.5 x limit x 4 s + 5, from hosts told half a second before), at most two requests before a wait is over, none after the drain bound to an upstream that says it leaves while its entry never does.

--- a/persimsoak/checker.go
+++ b/persimsoak/checker.go
@@ -246,6 +246,7 @@
 		c.checkForwarding(o, executions)
 	}
 	c.checkUnsolicited()
+	c.checkSignals()
 	report := Report{Requests: len(c.outcomes), Poison: c.checkPoison()}
 	for _, violation := range c.system.store.Violations() {
 		c.recordViolation("each duty has one holder at a time", "%s", violation)
--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -32,6 +32,11 @@
 	KindUpstreamOneWay Kind = "upstream-one-way"
 	KindUpstreamCrash  Kind = "upstream-crash"
 	KindUpstreamLeave  Kind = "upstream-leave"
+	// An upstream names a limit, rejects all requests and asks to wait, or says that it
+	// leaves in its responses only.
+	KindUpstreamLimit       Kind = "upstream-limit"
+	KindUpstreamWait        Kind = "upstream-wait"
+	KindUpstreamSaysLeaving Kind = "upstream-says-leaving"
 	// Configuration changes by the operator.
 	KindRevoke  Kind = "revoke"
 	KindReroute Kind = "reroute"
@@ -50,6 +55,7 @@
 		KindUpstreamDelay, KindUpstreamReset, KindUpstreamSilent, KindUpstreamOneWay,
 		KindUpstreamCrash, KindUpstreamLeave,
 	}
+	signalKinds = []Kind{KindUpstreamLimit, KindUpstreamLimit, KindUpstreamWait, KindUpstreamSaysLeaving}
 	globalKinds = []Kind{KindStoreDown, KindRevoke, KindReroute, KindReroute}
 )
 
@@ -102,6 +108,11 @@
 	idleChangeStream = 1 << 32
 	// poisonStream is that for an event of KindPoison.
 	poisonStream = 1<<32 + 1
+	// signalStream is that for what upstreams ask for.
+	signalStream = 1<<32 + 2
+	// meanSignalInterval is the mean time between two draws of what upstreams ask for.
+	meanSignalInterval = 3 * time.Second
+	maxSignalDuration  = 10 * time.Second
 	// poisonInterval draws an event of KindPoison for one seed in so many; zero draws none.
 	poisonInterval    = 2
 	minPoisonDuration = 24 * time.Second
@@ -122,6 +133,7 @@
 		p.addEvents(random, at)
 	}
 	p.addIdleChanges(rand.New(rand.NewPCG(seed, idleChangeStream)))
+	p.addSignals(rand.New(rand.NewPCG(seed, signalStream)))
 	if poisonInterval > 0 && seed%max(1, poisonInterval) == 0 {
 		p.AddPoison()
 	}
@@ -167,6 +179,17 @@
 	}
 }
 
+// addSignals adds events in which upstreams ask for something.
+func (p *Plan) addSignals(random *rand.Rand) {
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanSignalInterval)) }
+	for at := firstEventAt + next(); at < p.Duration; at += next() {
+		p.addSeries(random, Event{
+			Kind: signalKinds[random.IntN(len(signalKinds))], At: at, Target: random.IntN(p.Upstreams),
+			Duration: time.Duration(random.Int64N(int64(maxSignalDuration))),
+		})
+	}
+}
+
 // addSeries adds an event, and sometimes a series of them.
 func (p *Plan) addSeries(random *rand.Rand, event Event) {
 	p.Events = append(p.Events, event)
--- a/persimsoak/upstream.go
+++ b/persimsoak/upstream.go
@@ -51,13 +51,14 @@
 // executions.
 type upstream struct {
 	id       string
+	stand    *persimstand.Upstream
 	proxy    *proxy
 	cleanups []func()
 }
 
 // newUpstream starts an upstream. It calls onRun when it has recorded an execution and is
 // about to answer it.
-func newUpstream(id string, executions *executionLog, onRun func(*upstream, *http.Request)) (*upstream, error) {
+func newUpstream(id string, executions *executionLog, arrivals *arrivalLog, onRun func(*upstream, *http.Request)) (*upstream, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -73,7 +74,12 @@
 			time.Sleep(slowRunTime)
 		}
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	started.stand = handler
+	recorded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrivals.record(id, r.Header.Get(platform.HeaderRequestID))
+		handler.ServeHTTP(w, r)
+	})
+	server := &http.Server{Handler: recorded, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
 	proxy, closeProxy, err := newProxy(listener.Addr().String())
 	started.proxy, started.cleanups = proxy, []func(){closeProxy, func() { _ = server.Close() }}
--- a/persimsoak/upstreams.go
+++ b/persimsoak/upstreams.go
@@ -25,6 +25,7 @@
 type upstreams struct {
 	store      *persimstand.Store
 	executions *executionLog
+	arrivals   *arrivalLog
 	poison     *poison
 	// onError is called with an error of a crash that no event of the plan caused.
 	onError func(error)
@@ -46,6 +47,7 @@
 func newUpstreams(store *persimstand.Store, seed uint64) *upstreams {
 	return &upstreams{
 		store: store, executions: &executionLog{byRequest: map[string][]execution{}},
+		arrivals:   &arrivalLog{byUpstream: map[string][]arrival{}},
 		poison:     &poison{random: rand.New(rand.NewPCG(seed, poisonStream))},
 		leaveTimes: map[string]time.Time{}, faults: map[string][]interval{}, poisoned: map[string]bool{},
 	}
@@ -64,7 +66,7 @@
 
 func (u *upstreams) startLocked() (*upstream, error) {
 	u.startedCount++
-	started, err := newUpstream(fmt.Sprintf("up-%d", u.startedCount), u.executions, u.crashIfPoisoned)
+	started, err := newUpstream(fmt.Sprintf("up-%d", u.startedCount), u.executions, u.arrivals, u.crashIfPoisoned)
 	if err != nil {
 		return nil, err
 	}
@@ -131,6 +133,11 @@
 		return u.leave(target)
 	case KindUpstreamCrash:
 		return u.crash(target, event.Duration)
+	case KindUpstreamLimit, KindUpstreamWait:
+		u.ask(target, event)
+		return nil
+	case KindUpstreamSaysLeaving:
+		return u.sayLeaving(target)
 	}
 	faults := map[Kind]linkFault{
 		KindUpstreamDelay: linkFaultDelay, KindUpstreamReset: linkFaultReset,
--- a/persimstand/upstream.go
+++ b/persimstand/upstream.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"persimmonport.example/persimpressure"
 	"persimmonport.example/platform"
 )
 
@@ -30,6 +33,8 @@
 	id    string
 	onRun func(request string, r *http.Request)
 	slots chan struct{}
+	// signals are what the upstream asks for in its responses.
+	signals atomic.Pointer[persimpressure.Signals]
 }
 
 // NewUpstream returns an upstream that calls onRun when it starts to run a request.
@@ -37,6 +42,29 @@
 	return &Upstream{id: id, onRun: onRun, slots: make(chan struct{}, UpstreamSlots)}
 }
 
+// SetSignals sets what the upstream asks for in its later responses. With a wait, it rejects
+// all requests.
+func (u *Upstream) SetSignals(signals persimpressure.Signals) { u.signals.Store(&signals) }
+
+// addSignals adds what the upstream asks for to the header of a response. It returns false if
+// the upstream rejects the request.
+func (u *Upstream) addSignals(header http.Header) bool {
+	signals := u.signals.Load()
+	if signals == nil {
+		return true
+	}
+	if signals.LimitState == persimpressure.LimitNamed {
+		header.Set(platform.HeaderLimit, strconv.FormatFloat(signals.Limit, 'f', -1, 64))
+	}
+	if signals.Leaving {
+		header.Set(platform.HeaderLeaving, "1")
+	}
+	if signals.Wait > 0 {
+		header.Set(platform.HeaderRetryAfter, platform.EncodeRetryAfter(signals.Wait))
+	}
+	return signals.Wait <= 0
+}
+
 // Signature returns the HeaderSignature value of the response of an upstream to a
 // request.
 func Signature(upstream, request string) string { return upstream + "." + request }
@@ -64,6 +92,10 @@
 		rejectNotRun(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if !u.addSignals(w.Header()) {
+		rejectNotRun(w, http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case u.slots <- struct{}{}:
 		defer func() { <-u.slots }()
