--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 LINTER = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|' -)
+# Lists each package with what its tests import.
+PACKAGES = $(GO) list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' $(MODULES)
 MODULES = $(patsubst %/go.mod,./%/...,$(wildcard persim*/go.mod) platform/go.mod) ./...
 
 .PHONY: build demo test lint format bench capacity faults soak generate
@@ -20,11 +22,15 @@
 format:
 	$(GO) run $(LINTER) fmt $(MODULES)
 
-# Every test with the race detector; the policies' measures and the largest simulation
-# of persimquarantine without it.
+# Every test with the race detector; the policies' measures, the largest simulation of
+# persimquarantine and the tests in bubbles without it as well. Tests in bubbles of
+# testing/synctest run on one thread under the detector, which ends the process if two
+# threads run timers of a bubble.
 test: lint
 	$(GO) vet $(MODULES)
-	$(GO) test -race -skip '$(KNOWN_RED)' $(MODULES)
+	$(GO) test -race -skip '$(KNOWN_RED)' $$($(PACKAGES) | awk '!/ testing\/synctest( |$$)/ {print $$1}')
+	$(GO) test -race -exec 'env GOMAXPROCS=1' -timeout 30m -skip '$(KNOWN_RED)' $$($(PACKAGES) | awk '/ testing\/synctest( |$$)/ {print $$1}')
+	$(GO) test -skip '$(KNOWN_RED)' $$($(PACKAGES) | awk '/ testing\/synctest( |$$)/ {print $$1}')
 	$(GO) test ./persimbench/...
 	$(GO) test -skip '$(KNOWN_RED)' ./persimquarantine/...
 	@cat KNOWN-RED.txt
