Soak: what upstreams ask for is checked through faults of the store, and drawn early

Only restarts and pauses of the host and faults of the upstream excuse now; events come each 1.5 s on average from the first second on and last 2 to 16 s.

--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -111,8 +111,9 @@
 	// signalStream is that for what upstreams ask for.
 	signalStream = 1<<32 + 2
 	// meanSignalInterval is the mean time between two draws of what upstreams ask for.
-	meanSignalInterval = 3 * time.Second
-	maxSignalDuration  = 10 * time.Second
+	meanSignalInterval = 1500 * time.Millisecond
+	minSignalDuration  = 2 * time.Second
+	maxSignalDuration  = 16 * time.Second
 	// poisonInterval draws an event of KindPoison for one seed in so many; zero draws none.
 	poisonInterval    = 2
 	minPoisonDuration = 24 * time.Second
@@ -182,10 +183,10 @@
 // addSignals adds events in which upstreams ask for something.
 func (p *Plan) addSignals(random *rand.Rand) {
 	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanSignalInterval)) }
-	for at := firstEventAt + next(); at < p.Duration; at += next() {
+	for at := firstEventAt; at < p.Duration; at += next() {
 		p.addSeries(random, Event{
 			Kind: signalKinds[random.IntN(len(signalKinds))], At: at, Target: random.IntN(p.Upstreams),
-			Duration: time.Duration(random.Int64N(int64(maxSignalDuration))),
+			Duration: minSignalDuration + time.Duration(random.Int64N(int64(maxSignalDuration-minSignalDuration))),
 		})
 	}
 }
--- a/persimsoak/signals.go
+++ b/persimsoak/signals.go
@@ -140,12 +140,13 @@
 	return first
 }
 
-// bound reports whether the host of an arrival has been told for a time and was not disturbed
-// meanwhile, nor was the upstream.
+// bound reports whether the host of an arrival has been told for a time and its process was
+// not disturbed meanwhile, nor was the upstream. Faults of the store excuse nothing.
 func (c *checker) bound(period asked, a arrival, told map[int]time.Time, hosts map[string]int, after time.Duration) bool {
-	host := hosts[a.request]
-	at, ok := told[host]
-	return ok && a.at.After(at.Add(after+timingTolerance)) && c.system.hosts[host].faultFree(at, a.at, true) &&
+	at, ok := told[hosts[a.request]]
+	h := c.system.hosts[hosts[a.request]]
+	return ok && a.at.After(at.Add(after+timingTolerance)) &&
+		!h.overlaps(&h.processFaults, at, a.at) && !h.overlaps(&h.plannedStops, at, a.at) &&
 		!c.system.upstreams.hadFault(period.upstream, period.from, a.at)
 }
 
