The planner orders what upstreams with a limit do not take

A limit is also a capacity: an upstream that takes 1 request a second counted as a whole one, so that the others carried its work and none was ordered for it. The planner now adds what is missing of each limited upstream, from its limit and the requests that keep one busy (this host's demand), up to the operator's maximum. Tests: with three upstreams missing at least three more are ordered.

--- a/persimentry/orders.go
+++ b/persimentry/orders.go
@@ -42,6 +42,7 @@
 	}
 	load := e.totalLoad(service.Name, localDemand)
 	upstreams := e.roster.Upstreams()[service.Name]
+	load.Limited = missingCapacity(e.front.Limits(upstreams), localDemand[service.Name])
 	orders := planner.Plan(time.Now(), *service.Scaling, upstreams, load)
 	e.mu.Unlock()
 	for _, order := range orders {
@@ -51,6 +52,19 @@
 	}
 }
 
+// missingCapacity returns the number of upstreams that are missing since others limit the
+// requests that they take. The demand of this host tells how many requests keep one busy.
+func missingCapacity(limits []float64, demand persimfront.Demand) float64 {
+	if demand.Busy <= 0 {
+		return 0
+	}
+	missing := 0.0
+	for _, limit := range limits {
+		missing += persimfleet.LimitedShare(limit, demand.Requests/demand.Busy)
+	}
+	return missing
+}
+
 // placeOrder sends one order to the platform and reports whether the next order may
 // be placed.
 func (e *entry) placeOrder(ctx context.Context, service string, planner persimfleet.UpstreamPlanner, order persimfleet.UpstreamOrder, load persimfleet.Load, speed persimengine.Speed) bool {
@@ -62,7 +76,7 @@
 		Service: service, Centre: order.Centre, Count: order.Count, Reclaimable: order.Reclaimable,
 	})
 	klog.InfoS("upstreams ordered", "service", service, "centre", order.Centre, "count", order.Count,
-		"reclaimable", order.Reclaimable, "work", load.Busy, "promptToken", speed.PromptToken, "outputToken", speed.OutputToken, "fence", fence, "error", persimlog.ErrorText(err))
+		"reclaimable", order.Reclaimable, "work", load.Busy, "limited", load.Limited, "promptToken", speed.PromptToken, "outputToken", speed.OutputToken, "fence", fence, "error", persimlog.ErrorText(err))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err == nil {
--- a/persimfleet/upstreams.go
+++ b/persimfleet/upstreams.go
@@ -39,6 +39,18 @@
 type Load struct {
 	// Busy is the number of upstreams that the work keeps fully busy.
 	Busy float64
+	// Limited is the number of upstreams that are missing since others limit the requests
+	// that they take.
+	Limited float64
+}
+
+// LimitedShare returns the share of an upstream that is missing since it takes only limit
+// requests a second, where rate is the number of requests that keep one fully busy.
+func LimitedShare(limit, rate float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	return max(0, 1-limit/(rate*reclaimableUtilisation))
 }
 
 // CapacityPool identifies the upstreams of a service in one data centre that are
@@ -137,8 +149,8 @@
 	}
 	current := countByPool(upstreams)
 	p.detectReclaims(now, upstreams, current)
-	desired := p.desiredReclaimable(scaling, centres, peak)
-	p.addOnDemand(now, scaling, centres, current, desired, peak)
+	desired := p.desiredReclaimable(scaling, centres, peak, load.Limited)
+	p.addOnDemand(now, scaling, centres, current, desired, peak, load.Limited)
 	return p.pendingOrders(now, scaling, desired, current)
 }
 
@@ -177,9 +189,9 @@
 }
 
 // desiredReclaimable spreads reclaimable upstreams evenly over the data centres.
-func (p *upstreamPlanner) desiredReclaimable(scaling persimcatalog.Scaling, centres []string, peak float64) map[CapacityPool]int {
+func (p *upstreamPlanner) desiredReclaimable(scaling persimcatalog.Scaling, centres []string, peak, limited float64) map[CapacityPool]int {
 	desired := map[CapacityPool]int{}
-	share := int(math.Ceil(peak / reclaimableUtilisation / float64(len(centres))))
+	share := int(math.Ceil((peak/reclaimableUtilisation + limited) / float64(len(centres))))
 	for _, centre := range centres {
 		desired[CapacityPool{Centre: centre, Reclaimable: true}] = min(max(share, scaling.Min), scaling.Max)
 	}
@@ -188,8 +200,8 @@
 
 // addOnDemand adds on-demand upstreams for the load that the reclaimable ones do not
 // cover, in the cheapest data centres.
-func (p *upstreamPlanner) addOnDemand(now time.Time, scaling persimcatalog.Scaling, centres []string, current, desired map[CapacityPool]int, peak float64) {
-	missing := int(math.Ceil(peak / maxUtilisation))
+func (p *upstreamPlanner) addOnDemand(now time.Time, scaling persimcatalog.Scaling, centres []string, current, desired map[CapacityPool]int, peak, limited float64) {
+	missing := int(math.Ceil(peak/maxUtilisation + limited))
 	for _, centre := range centres {
 		missing -= p.expectedCount(now, scaling, CapacityPool{Centre: centre, Reclaimable: true}, current)
 	}
--- a/persimfleet/upstreams_test.go
+++ b/persimfleet/upstreams_test.go
@@ -124,6 +124,25 @@
 	require.Zero(t, s.ready[CapacityPool{Centre: "a"}], "reclaimable upstreams have taken over")
 }
 
+// TestFleetReplacesWhatLimitedUpstreamsDoNotTake guards against a service that stays short of
+// capacity while some of its upstreams take few requests.
+func TestFleetReplacesWhatLimitedUpstreamsDoNotTake(t *testing.T) {
+	counts := map[float64]int{}
+	for _, limited := range []float64{0, 3} {
+		s := newSimulatedPlatform()
+		s.run(0, 30*time.Second, Load{Busy: 1, Limited: limited}, nil)
+		counts[limited] = s.total()
+	}
+	require.GreaterOrEqual(t, counts[3], counts[0]+3)
+}
+
+func TestLimitedShare(t *testing.T) {
+	require.InDelta(t, 0, LimitedShare(1, 0), 0, "the rate is not known")
+	require.InDelta(t, 0, LimitedShare(100, 10), 0)
+	require.InDelta(t, 1, LimitedShare(0, 10), 0)
+	require.InDelta(t, 0.5, LimitedShare(reclaimableUtilisation*5, 10), 1e-9)
+}
+
 func TestFleetWaitsForLateEntries(t *testing.T) {
 	s := newSimulatedPlatform()
 	complete := s.ready
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -65,6 +65,8 @@
 	SharedState() SharedState
 	// Demand returns the rate of arriving work, by service.
 	Demand() map[string]Demand
+	// Limits returns the limits that upstreams name, in requests a second, of those given.
+	Limits(upstreams []persimcatalog.Upstream) []float64
 	// AssumeSpeeds takes over the speeds of engines that another host has learned, by
 	// service, where this host has not learned them.
 	AssumeSpeeds(demand map[string]Demand)
--- a/persimfront/signals.go
+++ b/persimfront/signals.go
@@ -54,6 +54,18 @@
 	f.dispatcher.pressure.SetHosts(time.Now(), self, others)
 }
 
+func (f *front) Limits(upstreams []persimcatalog.Upstream) []float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var limits []float64
+	for _, upstream := range upstreams {
+		if limit, named := f.dispatcher.pressure.Limit(upstream.Hash()); named && !upstream.Leaving {
+			limits = append(limits, limit)
+		}
+	}
+	return limits
+}
+
 // expireSignals logs what upstreams no longer ask for and sets the gauges.
 func (f *front) expireSignals() {
 	now := time.Now()
