The gate is asked only of the best upstreams; a caller is always told when to return

Only an upstream that would be chosen is asked now, about log(300) times, whatever the number of hosts.

--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -98,7 +98,7 @@
 		c.refuse(w, refusal{status: http.StatusBadGateway, cause: cause})
 	default:
 		c.refund()
-		c.refuse(w, refusal{status: http.StatusServiceUnavailable, cause: cause, retryDelay: c.wait(), longDelay: true})
+		c.refuse(w, refusal{status: http.StatusServiceUnavailable, cause: cause, retryDelay: max(minRetryAfter, c.wait()), longDelay: true})
 	}
 }
 
@@ -153,7 +153,7 @@
 		return persimplace.Choice{}, refused
 	}
 	choice, ok := f.dispatcher.placer(c.service).Choose(now, c.placement)
-	c.countClosed(choice)
+	c.countPassedOver(choice)
 	if !ok {
 		return choice, refusalWithoutUpstream(choice)
 	}
@@ -180,9 +180,9 @@
 	return &refusal{status: http.StatusServiceUnavailable, cause: "no upstream", retryDelay: maxRetryAfter}
 }
 
-// countClosed counts a request for which upstreams that ask for it were left out.
-func (c *call) countClosed(choice persimplace.Choice) {
-	if choice.Closed > 0 && c.front.metrics != nil {
+// countPassedOver counts a request for which upstreams that ask for it were left out.
+func (c *call) countPassedOver(choice persimplace.Choice) {
+	if choice.PassedOver > 0 && c.front.metrics != nil {
 		c.front.metrics.Count("requests_sent_elsewhere")
 	}
 }
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -117,10 +117,10 @@
 	// of the engine.
 	pendingTokens int
 	measurable    bool
-	// Closed is the number of upstreams that were left out since they take no requests now,
-	// Wait the shortest time until one of them does, or zero if it is not known.
-	Closed int
-	Wait   time.Duration
+	// PassedOver is the number of better upstreams that take no requests now. Wait is set
+	// where there is no other: it is the shortest time until one of them does.
+	PassedOver int
+	Wait       time.Duration
 }
 
 // Outcome says how an attempt ended.
@@ -258,10 +258,29 @@
 
 func (p *placer) Choose(now time.Time, request Request) (Choice, bool) {
 	best, ok := p.choose(now, request, false)
-	if !ok && best.Wait == 0 {
-		best, ok = p.choose(now, request, true)
+	if ok {
+		return best, true
 	}
-	return best, ok
+	if wait := p.shortestWait(now); wait > 0 {
+		best.Wait = wait
+		return best, false
+	}
+	return p.choose(now, request, true)
+}
+
+// shortestWait returns the shortest time until an upstream takes requests that takes none
+// now, or zero if none is known.
+func (p *placer) shortestWait(now time.Time) time.Duration {
+	var shortest time.Duration
+	for _, s := range p.sorted {
+		if s.Leaving {
+			continue
+		}
+		if wait, open := p.gate.Check(now, s.key); !open && wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
 }
 
 // choose returns the best upstream that is not leaving and was not tried before.
@@ -270,18 +289,11 @@
 	preferred := p.preferred(request)
 	var best Choice
 	var bestCost time.Duration
-	var closed closedUpstreams
 	found := false
+	passedOver := 0
 	ejectionsLeft := p.maxEjected()
 	for _, s := range p.sorted {
-		if s.Leaving {
-			continue
-		}
-		if wait, open := p.gate.Check(now, s.key); !open {
-			closed.add(wait)
-			continue
-		}
-		if slices.Contains(request.Exclude, s.ID) {
+		if s.Leaving || slices.Contains(request.Exclude, s.ID) {
 			continue
 		}
 		if !includeEjected && s.ejected(now) && ejectionsLeft > 0 {
@@ -290,28 +302,20 @@
 		}
 		choice := p.estimate(now, s, request, preferred)
 		cost := choice.Expected + time.Duration(p.random.Int64N(int64(jitter)))
-		if !found || cost < bestCost {
-			best, bestCost, found = choice, cost, true
+		if found && cost >= bestCost {
+			continue
+		}
+		// The gate is asked last, as few upstreams come so far.
+		if _, open := p.gate.Check(now, s.key); !open {
+			passedOver++
+			continue
 		}
+		best, bestCost, found = choice, cost, true
 	}
-	best.Closed, best.Wait = closed.count, closed.wait
+	best.PassedOver = passedOver
 	return best, found
 }
 
-// closedUpstreams are the upstreams that take no requests now.
-type closedUpstreams struct {
-	count int
-	// wait is the shortest time until one of them does, or zero if none is known.
-	wait time.Duration
-}
-
-func (c *closedUpstreams) add(wait time.Duration) {
-	c.count++
-	if wait > 0 && (c.wait == 0 || wait < c.wait) {
-		c.wait = wait
-	}
-}
-
 // maxEjected returns the number of upstreams that may be ejected at a time.
 func (p *placer) maxEjected() int {
 	usable, _ := p.Count()
