--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -57,6 +57,8 @@
 	retriedAttempts int
 	upstream        string
 	usageCounted    bool
+	// passedOver counts the better upstreams that took no requests.
+	passedOver int
 	// crashCheck is the check whether the last upstream crashed as it began to respond.
 	crashCheck *breaks
 }
@@ -309,7 +311,7 @@
 	took := time.Since(c.arrived)
 	age, _ := c.front.CatalogueAge()
 	klog.InfoS("request", "id", c.id, "route", c.route.Name, "organisation", c.organisation,
-		"service", c.service, "upstream", c.upstream, "attempts", c.attempts, "status", status,
+		"service", c.service, "upstream", c.upstream, "attempts", c.attempts, "passedOver", c.passedOver, "status", status,
 		"cause", cause, "took", took, "configurationAge", age)
 	if c.front.metrics != nil {
 		c.front.metrics.Request(c.organisation, c.route.Name, cause, took)
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -182,6 +182,7 @@
 
 // countPassedOver counts a request for which upstreams that ask for it were left out.
 func (c *call) countPassedOver(choice persimplace.Choice) {
+	c.passedOver += choice.PassedOver
 	if choice.PassedOver > 0 && c.front.metrics != nil {
 		c.front.metrics.Count("requests_sent_elsewhere")
 	}
