--- a/persimfront/harness_test.go
+++ b/persimfront/harness_test.go
@@ -185,9 +185,16 @@
 // get sends a request and returns the response, its body and the error of reading
 // them.
 func (h *harness) get(t *testing.T, method, path, headers string) (*http.Response, string, error) {
+	t.Helper()
+	return h.roundTrip(t, requestHead(method, path)+headers+"\r\n")
+}
+
+// roundTrip writes the bytes of a request on a new connection and returns the response, its
+// body and the error of reading them.
+func (h *harness) roundTrip(t *testing.T, request string) (*http.Response, string, error) {
 	t.Helper()
 	conn := h.dial(t)
-	_, err := io.WriteString(conn, requestHead(method, path)+headers+"\r\n")
+	_, err := io.WriteString(conn, request)
 	require.NoError(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/persimfront/reports_test.go
+++ b/persimfront/reports_test.go
@@ -1,7 +1,6 @@
 package persimfront
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -18,15 +17,7 @@
 // getAs sends a request with an id of its own.
 func (h *harness) getAs(t *testing.T, id, path string) (*http.Response, string, error) {
 	t.Helper()
-	conn := h.dial(t)
-	_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\nX-Request-Id: "+id+"\r\nX-Api-Key: key\r\n\r\n")
-	require.NoError(t, err)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return nil, "", err
-	}
-	body, err := io.ReadAll(resp.Body)
-	return resp, string(body), err
+	return h.roundTrip(t, "GET "+path+" HTTP/1.1\r\nHost: h\r\nX-Request-Id: "+id+"\r\nX-Api-Key: key\r\n\r\n")
 }
 
 func refusalOf(id string) string {
--- /dev/null
+++ b/persimfront/resume.go
@@ -0,0 +1,73 @@
+package persimfront
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"persimmonport.example/persimconn"
+	"persimmonport.example/persimplace"
+	"persimmonport.example/platform"
+)
+
+// resume sends the request to another upstream, which continues the stream after its last
+// event. It returns nil if that is not possible.
+func (a *attempt) resume(ctx context.Context, stream *eventWriter) *persimconn.Exchange {
+	if a.attempts >= a.route.MaxAttempts || !a.mayRetry() {
+		return nil
+	}
+	choice, refused := a.chooseUpstream()
+	if refused != nil {
+		return nil
+	}
+	f := a.front
+	a.attempts++
+	a.tried = append(a.tried, choice.Upstream.ID)
+	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
+	if err != nil {
+		a.recordConnectFailure(choice.Upstream, persimplace.OutcomeFailed, choice)
+		return nil
+	}
+	f.mu.Lock()
+	a.ticket = f.dispatcher.placer(a.service).StartAttempt(time.Now(), a.placement, choice)
+	f.mu.Unlock()
+	a.upstream = choice.Upstream
+	req := a.upstreamRequest(ctx, choice.Upstream)
+	if stream.lastID != "" {
+		req.Header.Set(platform.HeaderEventID, stream.lastID)
+	}
+	exchange, err := a.exchange(ctx, conn, choice.Upstream, req)
+	if err != nil {
+		a.recordBreak(ctx, "connection broke", false, 0, err)
+		return nil
+	}
+	if !a.continues(exchange.Response, stream.header) {
+		klog.InfoS("stream not resumed", "request", a.id, "upstream", choice.Upstream.ID, "status", exchange.Response.StatusCode)
+		exchange.Abandon()
+		a.finish(persimplace.OutcomeFailed)
+		return nil
+	}
+	klog.InfoS("stream resumed", "request", a.id, "upstream", choice.Upstream.ID, "after", stream.lastID)
+	return exchange
+}
+
+// continues reports whether a response can continue a stream that began with a header. A
+// response of another type is no part of the stream, whatever its status.
+func (a *attempt) continues(response *http.Response, began http.Header) bool {
+	return response.StatusCode == http.StatusOK && response.Header.Get(platform.HeaderRequestID) == a.id &&
+		producedByUpstream(response.Header) && mediaType(response.Header) == mediaType(began)
+}
+
+// producedByUpstream reports whether a response is signed and its body unaltered.
+func producedByUpstream(header http.Header) bool {
+	return header.Get(platform.HeaderSignature) != "" && header.Get("Content-Encoding") == ""
+}
+
+// mediaType returns the type of a response's body without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
