--- a/persimentry/hub_test.go
+++ b/persimentry/hub_test.go
@@ -147,6 +147,7 @@
 		d.eventually(propagationBound, d.allReturn("/n/", "key", http.StatusNotFound), "the removed route")
 	})
 	t.Run("crashes reach all hosts", func(*testing.T) { d.requireQuarantineEverywhere() })
+	t.Run("limits reach all hosts and end there", func(*testing.T) { d.requireLimitEverywhere() })
 	t.Run("usage is reported whole", func(t *testing.T) {
 		// Earlier windows: TestUsageOfALargeDeploymentFromItsStart.
 		length := testBounds().UsageWindow
--- a/persimentry/limits_test.go
+++ b/persimentry/limits_test.go
@@ -53,3 +53,40 @@
 	other.applyExchange(told.exchangeState(nil, "host-1"))
 	require.Empty(t, other.front.Limits([]persimcatalog.Upstream{upstream}))
 }
+
+// requireLimitEverywhere lets one host hear of a limit and then of its end, and requires that
+// all hosts know both in time.
+func (d *testDeployment) requireLimitEverywhere() {
+	d.t.Helper()
+	first := d.hosts[0].entry
+	first.mu.Lock()
+	var upstreams []persimcatalog.Upstream
+	for _, list := range first.roster.Upstreams() {
+		upstreams = append(upstreams, list...)
+	}
+	first.mu.Unlock()
+	require.NotEmpty(d.t, upstreams)
+	upstreams = upstreams[:1]
+	known := func(count int) func() bool {
+		return func() bool {
+			for _, h := range d.hosts {
+				if len(h.entry.front.Limits(upstreams)) != count {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	news := persimpressure.News{Upstream: upstreams[0].Hash(), Named: true, Limit: 1.4, Version: 1}
+	first.front.MergePressure("upstream", []persimpressure.News{news})
+	d.eventually(contactBound, known(1), "limit at all hosts")
+	news.Named, news.Version = false, 2
+	first.front.MergePressure("upstream", []persimpressure.News{news})
+	d.eventually(contactBound, known(0), "end of the limit at all hosts")
+}
+
+func TestLimitsReachAllHosts(t *testing.T) {
+	d := newTestDeployment(t, 3)
+	d.waitConnected()
+	d.requireLimitEverywhere()
+}
