A response to a request from before a limit does not end the limit

What upstreams would see: a response without the header that was written before the limit began, and comes late (a long prompt, a slow link), ends the limit at all hosts; each then sends until a response names it again.

Cause: an end was taken from any response to a request of this host. Fix: only requests sent since this host knew of the limit can end it. A holder's stored requests are also brought up to date before its share changes, at the rate of the former limit.

--- a/persimfront/signals.go
+++ b/persimfront/signals.go
@@ -16,16 +16,17 @@
 // exchange sends the request to an upstream and records what the upstream asks for in its
 // response.
 func (c *call) exchange(ctx context.Context, conn *persimconn.Conn, upstream persimcatalog.Upstream, req *http.Request) (*persimconn.Exchange, error) {
+	sentAt := time.Now()
 	exchange, err := persimconn.Send(ctx, conn, req)
 	if err != nil {
 		return nil, err
 	}
-	c.recordSignals(upstream.Incarnation, exchange.Response)
+	c.recordSignals(sentAt, upstream.Incarnation, exchange.Response)
 	return exchange, nil
 }
 
-// recordSignals records what an upstream asks for in a response.
-func (c *call) recordSignals(upstream persimcatalog.Incarnation, response *http.Response) {
+// recordSignals records what an upstream asks for in a response to a request sent at sentAt.
+func (c *call) recordSignals(sentAt time.Time, upstream persimcatalog.Incarnation, response *http.Response) {
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		// The response is that of another process at the upstream's address.
 		return
@@ -36,7 +37,7 @@
 	}
 	f := c.front
 	f.mu.Lock()
-	changes := f.dispatcher.pressure.Record(time.Now(), upstream, signals)
+	changes := f.dispatcher.pressure.Record(time.Now(), sentAt, upstream, signals)
 	f.mu.Unlock()
 	f.applyChanges(changes, "request "+c.id)
 }
--- a/persimfront/signals_bench_test.go
+++ b/persimfront/signals_bench_test.go
@@ -44,7 +44,7 @@
 			pressure.SetHosts(now, "host-0", others)
 			pressure.SetUpstreams(now, incarnations)
 			for _, incarnation := range incarnations[:bb.asking] {
-				pressure.Record(now, incarnation, persimpressure.Signals{LimitState: persimpressure.LimitNamed, Limit: 1})
+				pressure.Record(now, now, incarnation, persimpressure.Signals{LimitState: persimpressure.LimitNamed, Limit: 1})
 			}
 			options := []persimplace.Option{persimplace.WithRandom(rand.New(rand.NewPCG(1, 1)))}
 			if bb.gated {
--- a/persimpressure/deployment_test.go
+++ b/persimpressure/deployment_test.go
@@ -64,8 +64,9 @@
 }
 
 type pendingResponse struct {
-	at   time.Time
-	host *testHost
+	at     time.Time
+	sentAt time.Time
+	host   *testHost
 	// to is what the host was when it sent the request.
 	to Pressure
 }
@@ -127,7 +128,7 @@
 	told := !h.toldAt.IsZero() && d.now.Sub(h.toldAt) >= testTold
 	d.arrivals = append(d.arrivals, arrival{at: d.now, host: h, told: calm && told})
 	took := time.Duration(d.random.Int64N(int64(testMaxTime)))
-	d.pending = append(d.pending, pendingResponse{at: d.now.Add(took), host: h, to: h.Pressure})
+	d.pending = append(d.pending, pendingResponse{at: d.now.Add(took), sentAt: d.now, host: h, to: h.Pressure})
 }
 
 // respond delivers the responses that are due.
@@ -148,7 +149,7 @@
 				p.host.toldAt = d.now
 			}
 		}
-		p.to.Record(d.now, testUpstream, signals)
+		p.to.Record(d.now, p.sentAt, testUpstream, signals)
 	}
 	d.pending = kept
 }
--- a/persimpressure/limit.go
+++ b/persimpressure/limit.go
@@ -13,7 +13,9 @@
 	// another host, and hops the number of messages that brought that here.
 	heardAt time.Time
 	hops    int
-	// changedAt is when this host learned of the last change.
+	// beganAt is when this host learned that the upstream names a limit, changedAt when of
+	// the last change.
+	beganAt   time.Time
 	changedAt time.Time
 
 	// rank is the place of this host among all, holders the number of holders, of which it
@@ -36,6 +38,9 @@
 // set replaces the limit.
 func (l *limit) set(now time.Time, named bool, perSecond float64, h *hosts, upstream uint64) {
 	began := named && !l.named
+	if l.named && l.holder() {
+		l.refill(now)
+	}
 	l.named, l.perSecond = named, perSecond
 	l.changedAt = now
 	if !named {
@@ -45,7 +50,7 @@
 		l.heardAt, l.hops = now, maxHops
 	}
 	if began {
-		l.holders = 0
+		l.beganAt, l.holders = now, 0
 	}
 	l.divide(now, h, upstream, began)
 }
--- a/persimpressure/pressure.go
+++ b/persimpressure/pressure.go
@@ -32,8 +32,9 @@
 	SetHosts(now time.Time, self string, others []string)
 	// SetUpstreams replaces the upstreams.
 	SetUpstreams(now time.Time, upstreams []persimcatalog.Incarnation)
-	// Record records what an upstream asks for in a response.
-	Record(now time.Time, upstream persimcatalog.Incarnation, signals Signals) []Change
+	// Record records what an upstream asks for in a response to a request that was sent at
+	// sentAt.
+	Record(now, sentAt time.Time, upstream persimcatalog.Incarnation, signals Signals) []Change
 	// Check returns how long an upstream takes no request of this host and false, or true if
 	// it takes one now. The time is zero if the upstream takes none ever again.
 	Check(now time.Time, upstream uint64) (time.Duration, bool)
@@ -125,7 +126,7 @@
 	return s
 }
 
-func (p *pressure) Record(now time.Time, incarnation persimcatalog.Incarnation, signals Signals) []Change {
+func (p *pressure) Record(now, sentAt time.Time, incarnation persimcatalog.Incarnation, signals Signals) []Change {
 	s := p.upstream(incarnation)
 	changes := s.recordMalformed(signals.Malformed)
 	if signals.Leaving && !s.leaving {
@@ -136,7 +137,7 @@
 	if change, ok := p.recordWait(now, s, signals.Wait); ok {
 		changes = append(changes, change)
 	}
-	if change, ok := p.recordLimit(now, s, signals); ok {
+	if change, ok := p.recordLimit(now, sentAt, s, signals); ok {
 		changes = append(changes, change)
 	}
 	return changes
@@ -172,8 +173,9 @@
 	return Change{Kind: ChangeWait, Upstream: s.Incarnation, Wait: until.Sub(now)}, !waited
 }
 
-// recordLimit records what a response says of the limit.
-func (p *pressure) recordLimit(now time.Time, s *upstream, signals Signals) (Change, bool) {
+// recordLimit records what a response says of the limit. A response to a request from before
+// the limit was known may be older than the limit and does not end it.
+func (p *pressure) recordLimit(now, sentAt time.Time, s *upstream, signals Signals) (Change, bool) {
 	l := &s.limit
 	named := signals.LimitState == LimitNamed
 	if signals.LimitState == LimitUnknown || named && !validLimit(signals.Limit) {
@@ -185,6 +187,9 @@
 	if named == l.named && (!named || signals.Limit == l.perSecond) {
 		return Change{}, false
 	}
+	if !named && !sentAt.After(l.beganAt) {
+		return Change{}, false
+	}
 	l.version++
 	l.hear(now, 0)
 	return p.setLimit(now, s, named, signals.Limit)
