Test of a planned stop waits until the host knows its upstream

Its log: the request was refused with 'no upstream' at 14:36.906, 'upstream came' followed at .917. The host is ready with its configuration and may read the list of upstreams later; the test sent its request in between. It now first waits until a request reaches the upstream; its own checks are the same.

--- a/cmd/persimmonport/stop_test.go
+++ b/cmd/persimmonport/stop_test.go
@@ -71,9 +71,37 @@
 		entry.ReadyHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/ready", nil))
 		return recorder.Code == http.StatusOK
 	}, 10*time.Second, 20*time.Millisecond)
+	s.awaitUpstream(t, silent)
 	return s
 }
 
+// awaitUpstream waits until the host passes requests on to the silent upstream: it is ready
+// once it has its configuration, and may read the list of upstreams later.
+func (s *stoppedEntry) awaitUpstream(t *testing.T, silent net.Listener) {
+	t.Helper()
+	reached := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := silent.Accept(); err == nil {
+			reached <- conn
+		}
+	}()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp4", s.deployment.CallerAddress)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /x/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: 0\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		select {
+		case upstream := <-reached:
+			_ = upstream.Close()
+			return true
+		case <-time.After(100 * time.Millisecond):
+			return false
+		}
+	}, 10*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return s.entry.InFlight() == 0 }, time.Second, time.Millisecond)
+}
+
 // TestRequestInProgressIsAnsweredBeforeTheHostStops guards against a stop that cuts requests
 // off without an answer.
 func TestRequestInProgressIsAnsweredBeforeTheHostStops(t *testing.T) {
