--- /dev/null
+++ b/review/stand/poison.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// deadlyPeriod is the time between two requests with the deadly part.
+	deadlyPeriod = 15500 * time.Millisecond
+	// deadlyRequests is their number.
+	deadlyRequests = 6
+)
+
+func modelCatalogue() map[string]any {
+	stream := route("spec", "/spec/", "streaming", 3000, 2)
+	stream["service"], stream["sticky"], stream["gap_aim_ms"], stream["resumable"] = "model", true, 500, true
+	return map[string]any{
+		"version": 2, "routes": []map[string]any{stream},
+		"services": []map[string]any{{"name": "model", "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 64, "kv_capacity_tokens": 905886, "kv_bytes": 327680, "link_mbps": 550000.0, "moves": true, "backups": true,
+				"stride": 6, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []map[string]any{{"name": "m"}}}}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBody, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "huka270", "api_keys": []string{apiKey}, "priority": 1, "rate_per_s": 0, "burst": 0}},
+	}
+}
+
+// prompt sends one request for a generation on a new connection and returns its status.
+func prompt(address, id, parts string, tokens int) (int, error) {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, err = fmt.Fprintf(conn, "POST /spec/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Count: %d,48\r\nX-Prefix-Hash: %s\r\nX-Deadline-Ms: 3000\r\nX-Api-Key: %s\r\nContent-Length: 5\r\n\r\nhello",
+		caseHost, id, tokens, parts, apiKey)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.ReadAll(response.Body)
+	return response.StatusCode, err
+}
+
+// poisonCase sends, besides sound requests, one request in deadlyPeriod with a part that
+// crashes workers, to the machines in turn. Without trouble that part is harmless.
+func poisonCase(d *deployment, trouble bool) bool {
+	d.store.put("config", "main", modelCatalogue())
+	events := &engineEvents{}
+	var engines []*engine
+	for range 8 {
+		engines = append(engines, d.addEngine(events, trouble, os.Getenv("BEGINS") == "1"))
+	}
+	for range 3 {
+		d.addMachine("z").start()
+	}
+	d.awaitReady()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var next, served, failed atomic.Int64
+	for i, m := range d.machines {
+		for k := range 4 {
+			clients.Go(func() {
+				for !done(stop) {
+					n := next.Add(1)
+					id := fmt.Sprintf("p%07d", n)
+					parts := fmt.Sprintf("5c1e07a2:512,%08x:1800,%08x:300", 0x1000+(int(n)%24), 0x2000000+int(n))
+					status, err := prompt(m.front(), id, parts, 2612)
+					if status == 200 && err == nil {
+						served.Add(1)
+					} else {
+						failed.Add(1)
+						d.record.line("%s: sound %s: status %d %v", m.name, id, status, err)
+					}
+					time.Sleep(time.Duration(150+10*i+7*k) * time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for n := range deadlyRequests {
+		m := d.machines[n%len(d.machines)]
+		id := fmt.Sprintf("deadly-%d", n+1)
+		parts := fmt.Sprintf("5c1e07a2:512,%s:400,%08x:1800,%08x:300", deadlyPart, 0x1000+(7*n)%24, 0x3000000+n)
+		d.record.line("%s: %s is sent with the deadly part", m.name, id)
+		clients.Go(func() {
+			status, err := prompt(m.front(), id, parts, 3012)
+			d.record.line("%s: %s: status %d %v", m.name, id, status, err)
+		})
+		time.Sleep(deadlyPeriod)
+	}
+	close(stop)
+	clients.Wait()
+	for _, e := range engines {
+		close(e.stop)
+	}
+	events.mu.Lock()
+	defer events.mu.Unlock()
+	d.record.say("sound requests: %d served, %d not", served.Load(), failed.Load())
+	d.record.say("%d crashes, %d requests with the deadly part reached workers", len(events.crashes), len(events.arrivals))
+	if len(events.crashes) < 5 {
+		return false
+	}
+	late := 0
+	fifth := events.crashes[4]
+	for _, a := range events.arrivals {
+		if a.at.After(fifth.Add(contact)) {
+			late++
+			d.record.say("BUDGET: %s, with the deadly part, reached a worker %.1f s after the fifth crash", a.id, a.at.Sub(fifth).Seconds())
+		}
+	}
+	return late > 3
+}
