--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -167,7 +167,11 @@
 		e.crash(id)
 		return
 	}
-	for event := range 8 {
+	count := 8
+	if strings.HasPrefix(r.URL.Path, "/spec/") {
+		count = 64
+	}
+	for event := range count {
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s piece %d\n\n", event+1, id, event+1)
 		_ = http.NewResponseController(rw).Flush()
 		select {
