--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -98,6 +98,7 @@
 	ip       string
 	settings string
 	log      *os.File
+	link     *link
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -110,7 +111,8 @@
 
 func (d *deployment) addMachine(zone string) *machine {
 	m := &machine{deployment: d, name: fmt.Sprintf("edge-%s-%d", zone, len(d.machines)+1), ip: d.prefix + strconv.Itoa(len(d.machines)+1)}
-	platform := d.serve("127.0.0.1:0", d.store.handler(m.name)).Addr().String()
+	m.link = newLink(d.serve("127.0.0.1:0", d.store.handler(m.name)).Addr().String())
+	platform := m.link.address()
 	settings := map[string]any{
 		"node": m.name, "role": "entry", "machine_class": "edge", "serves": []string{"edge", "control_plane"},
 		"ip": m.ip, "zone": zone, "region": "r", "zones": map[string]string{zone: "r"},
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -36,7 +36,7 @@
 func (d *deployment) addWorker(service, zone string, slots int, work func(*http.Request) time.Duration) *worker {
 	w := &worker{deployment: d, service: service, slots: slots, work: work, stop: make(chan struct{}), runs: map[string]*run{}}
 	w.address = d.serve("127.0.0.1:0", w).Addr().String()
-	w.id = "i-" + hex.EncodeToString([]byte(w.address))[:16] + strconv.Itoa(int(time.Now().UnixNano()%1000))
+	w.id = "i-" + strings.ReplaceAll(w.address, ":", "-")
 	born := time.Now().UnixMilli()
 	go func() {
 		for sequence := 1; ; sequence++ {
