--- a/review/stand/cut.go
+++ b/review/stand/cut.go
@@ -117,8 +117,10 @@
 	drainTime = 2 * time.Second
 	// cutTime is how long the machine is partitioned from the store.
 	cutTime = 5500 * time.Millisecond
-	// linger is how long a worker that leaves serves beyond drainTime.
-	linger = 600 * time.Millisecond
+	// linger is how long the first worker that leaves serves beyond drainTime. Each further
+	// one leaves leaveGap later and exits at the same time as the first.
+	linger   = 1500 * time.Millisecond
+	leaveGap = 300 * time.Millisecond
 )
 
 // leaving is a worker that left without a word.
@@ -142,7 +144,7 @@
 	var clients sync.WaitGroup
 	var next atomic.Int64
 	var sent, statuses sync.Map
-	for range 12 {
+	for range 30 {
 		clients.Go(func() {
 			c := &client{}
 			defer c.close()
@@ -160,7 +162,7 @@
 		})
 	}
 	broken, lost := 0, 0
-	for round := range 5 {
+	for round := range 6 {
 		var left []*leaving
 		for range 4 {
 			left = append(left, &leaving{worker: d.addWorker("orders", "z", 64, work)})
@@ -177,12 +179,12 @@
 		healed := time.Now()
 		d.record.say("round %d: the partition ends", round+1)
 		for i, l := range left {
-			time.Sleep(time.Until(healed.Add(time.Duration(i) * 300 * time.Millisecond)))
+			time.Sleep(time.Until(healed.Add(time.Duration(i) * leaveGap)))
 			close(l.stop)
 			d.store.remove("servers", l.id)
 			l.acknowledged = time.Now()
 			d.record.say("round %d: the entry of %s is removed", round+1, l.id)
-			time.AfterFunc(drainTime+linger, l.exit)
+			time.AfterFunc(drainTime+linger-time.Duration(i)*leaveGap, l.exit)
 		}
 		time.Sleep(5 * time.Second)
 		inTouch := healed.Add(contact)
