--- a/review/stand/cut.go
+++ b/review/stand/cut.go
@@ -117,10 +117,13 @@
 	drainTime = 2 * time.Second
 	// cutTime is how long the machine is partitioned from the store.
 	cutTime = 5500 * time.Millisecond
-	// linger is how long the first worker that leaves serves beyond drainTime. Each further
-	// one leaves leaveGap later and exits at the same time as the first.
-	linger   = 1500 * time.Millisecond
-	leaveGap = 300 * time.Millisecond
+	// leaveAfter is the time from the end of the partition to the removal of the workers that
+	// leave, linger how long they serve beyond drainTime.
+	leaveAfter = 600 * time.Millisecond
+	linger     = 900 * time.Millisecond
+	// staying and leavingAtOnce are numbers of workers: one in eight leaves.
+	staying       = 14
+	leavingAtOnce = 2
 )
 
 // leaving is a worker that left without a word.
@@ -134,7 +137,7 @@
 func cutCase(d *deployment, trouble bool) bool {
 	d.store.put("config", "main", catalogue(2, []map[string]any{route("order", "/order/", "non_idempotent", 3000, 1)}))
 	work := func(*http.Request) time.Duration { return 200 * time.Millisecond }
-	for range 3 {
+	for range staying {
 		d.addWorker("orders", "z", 64, work)
 	}
 	m := d.addMachine("z")
@@ -164,7 +167,7 @@
 	broken, lost := 0, 0
 	for round := range 6 {
 		var left []*leaving
-		for range 4 {
+		for range leavingAtOnce {
 			left = append(left, &leaving{worker: d.addWorker("orders", "z", 64, work)})
 		}
 		time.Sleep(4 * time.Second)
@@ -178,13 +181,13 @@
 		}
 		healed := time.Now()
 		d.record.say("round %d: the partition ends", round+1)
-		for i, l := range left {
-			time.Sleep(time.Until(healed.Add(time.Duration(i) * leaveGap)))
+		time.Sleep(leaveAfter)
+		for _, l := range left {
 			close(l.stop)
 			d.store.remove("servers", l.id)
 			l.acknowledged = time.Now()
 			d.record.say("round %d: the entry of %s is removed", round+1, l.id)
-			time.AfterFunc(drainTime+linger-time.Duration(i)*leaveGap, l.exit)
+			time.AfterFunc(drainTime+linger, l.exit)
 		}
 		time.Sleep(5 * time.Second)
 		inTouch := healed.Add(contact)
