A host that was cut off leaves upstreams that have gone

A host that had been partitioned from the store for 5.5 s sent orders to upstreams that had been taken away more than 2 s before, up to 3.5 s after the end of the partition; some orders were lost as the upstreams exited.

Cause: a host took any gap of more than 2 s between two lists for an outage of the store, in which registrations of living upstreams may have expired, and kept upstreams that were missing for 2.5 s from its first list on. That list came up to 1 s after the end of the partition, and only the next list or confirmation ended the grace time.

Evidence: a trial with the new log lines ("list is current after a gap", "missing ones") shows the last failed read 0.9 s before the first list, missing ones kept at a host that alone was cut off, and left 2.71 s after that list in place of 2.5 s. The list itself was 6 ms old, which rules out an old copy or a read that hung.

Why the fix works: hosts tell each other the span in which the store could be read by anyone; a gap that another host fills is no outage, so nothing is kept. Where no host could read it, the grace time ends 2.75 s after the start of the last read that failed, which is no later than the end of the partition, and a duty of its own ends it. Failed reads are repeated by the time of their start, so that living upstreams still have two seconds to register.

--- a/persimentry/codec.go
+++ b/persimentry/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonport.example/persimclock"
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimengine"
 	"persimmonport.example/persimfront"
@@ -192,3 +193,18 @@
 	}
 	return windows
 }
+
+// decodeSpan returns the span in which the store could be read that a snapshot tells of.
+// Its end and the earliest return of the store are no later than in truth, its start is no
+// earlier, whenever between two instants the other host wrote the snapshot.
+func decodeSpan(snapshot *persimwire.Snapshot, sent, received persimclock.Instant) readableSpan {
+	before := func(at persimclock.Instant, ageMs int64) persimclock.Instant {
+		return at.Add(-time.Duration(ageMs) * time.Millisecond)
+	}
+	until := before(sent, snapshot.GetAgeMs())
+	since := until
+	if snapshot.GetReadableMs() > snapshot.GetAgeMs() {
+		since = min(until, before(received, snapshot.GetReadableMs()))
+	}
+	return readableSpan{since: since, until: until, returned: min(since, before(sent, max(snapshot.GetReturnedMs(), snapshot.GetAgeMs())))}
+}
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimclock"
 	"persimmonport.example/persimconn"
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimfleet"
@@ -81,6 +82,9 @@
 	duties      persimplatform.Duties
 	metrics     persimmetric.Metrics
 
+	// clock returns the current instant.
+	clock func() persimclock.Instant
+
 	draining  chan struct{}
 	drainOnce sync.Once
 
@@ -121,6 +125,7 @@
 		objects:     objects,
 		duties:      duties,
 		metrics:     metrics,
+		clock:       persimclock.Now,
 		draining:    make(chan struct{}),
 		roster:      persimcatalog.NewRoster(),
 		peers:       map[string]peer{},
@@ -129,6 +134,7 @@
 		planners:    map[string]persimfleet.UpstreamPlanner{},
 		reports:     storedReports{Windows: map[int64]persimduty.Counts{}},
 	}
+	e.rosterState.outages.contact = deployment.Bounds.Contact
 	e.startedAt = time.Now()
 	e.hubState = newHubState(e.startedAt, deployment, incarnation)
 	e.lease.SetAcquireDelay(acquireDelay(deployment.MemoryBytes))
@@ -203,7 +209,7 @@
 
 func (e *entry) Run(ctx context.Context) error {
 	loops := []func(context.Context){
-		e.pollCatalogue, e.pollRoster, e.pollHosts, e.maintainLease, e.reportUsageLoop, e.orderUpstreamsLoop, e.sweepPool, e.exchangeLoop,
+		e.pollCatalogue, e.pollRoster, e.expireMissing, e.pollHosts, e.maintainLease, e.reportUsageLoop, e.orderUpstreamsLoop, e.sweepPool, e.exchangeLoop,
 	}
 	var wg sync.WaitGroup
 	for _, loop := range loops {
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -150,7 +150,7 @@
 // added.
 func (e *entry) exchangeState(request *persimwire.Exchange, receiver string) *persimwire.Exchange {
 	local := e.localState()
-	now := persimclock.Now()
+	now := e.clock()
 	age, known := e.front.CatalogueAge()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -169,11 +169,7 @@
 		CrashEvidence: encodeEvidence(local.Crashes),
 		Limits:        encodeLimits(local.Pressure),
 		Catalogue:     &persimwire.Snapshot{Version: e.rawCatalogue.version, AgeMs: unknownAge},
-		Roster: &persimwire.Snapshot{
-			Version: e.rosterState.revision,
-			AgeMs:   now.Sub(e.rosterState.confirmedAt).Milliseconds(),
-			Digest:  e.rosterState.digest,
-		},
+		Roster:        e.rosterSnapshot(now),
 	}
 	if known {
 		state.Catalogue.AgeMs = age.Milliseconds()
@@ -188,6 +184,19 @@
 	return state
 }
 
+// rosterSnapshot returns the version and the ages of the list of upstreams, without its
+// contents.
+func (e *entry) rosterSnapshot(now persimclock.Instant) *persimwire.Snapshot {
+	span := e.rosterState.outages.current
+	return &persimwire.Snapshot{
+		Version:    e.rosterState.revision,
+		AgeMs:      now.Sub(e.rosterState.confirmedAt).Milliseconds(),
+		Digest:     e.rosterState.digest,
+		ReadableMs: now.Sub(span.since).Milliseconds(),
+		ReturnedMs: now.Sub(span.returned).Milliseconds(),
+	}
+}
+
 // unknownAge is the age, in milliseconds, that is sent for a configuration that a host
 // does not have.
 const unknownAge = int64(1) << 40
--- a/persimentry/poll.go
+++ b/persimentry/poll.go
@@ -1,6 +1,7 @@
 package persimentry
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -60,20 +61,23 @@
 }
 
 const (
-	// minRetryDelay is the time after which a read that failed is repeated for the first
-	// time; it doubles with each failure.
+	// minRetryDelay is the time from the start of a read that failed to the next one, for the
+	// first time; it doubles with each failure.
 	minRetryDelay = 200 * time.Millisecond
 	// maxReaderRetryDelay and maxHubRetryDelay limit the time for hosts on which others
 	// depend, maxRetryDelay that of the others in a small deployment.
-	maxReaderRetryDelay = 600 * time.Millisecond
-	maxHubRetryDelay    = 1200 * time.Millisecond
+	maxReaderRetryDelay = 500 * time.Millisecond
+	maxHubRetryDelay    = 1250 * time.Millisecond
 	maxRetryDelay       = 2 * time.Second
+	// retryTimeout limits a read after one that failed, so that the end of an outage is noticed
+	// soon; a slow store takes half of it.
+	retryTimeout = 500 * time.Millisecond
 	// retryDelayPerHost bounds the reads of all hosts together while the store fails.
 	retryDelayPerHost = 20 * time.Millisecond
 )
 
-// retryDelay returns the time after which a host repeats a read that has failed a number
-// of times in a row. Random is between 0 and 1.
+// retryDelay returns the time from the start of a read to the next one of a host whose
+// reads have failed a number of times in a row. Random is between 0 and 1.
 func retryDelay(failures int, role pollRole, hosts int, random float64) time.Duration {
 	longest := max(maxRetryDelay, time.Duration(hosts)*retryDelayPerHost)
 	switch role {
@@ -114,8 +118,19 @@
 	return age >= pollAge(p.deployment.Host, role, p.bound) && !now.Before(p.retryAt)
 }
 
-// record records the result of a read.
-func (p *poll) record(now time.Time, err error) {
+// withTimeout returns the context of a read, which is shorter after one that failed.
+func (p *poll) withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failures == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, retryTimeout)
+}
+
+// record records the result of a read that began at a point in time. A failed one is
+// repeated by the time at which it began, so that one that hangs does not delay the next.
+func (p *poll) record(began time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
@@ -124,5 +139,5 @@
 		return
 	}
 	p.failures++
-	p.retryAt = now.Add(retryDelay(p.failures, p.pollRole(), p.topology.Count(), rand.Float64()))
+	p.retryAt = began.Add(retryDelay(p.failures, p.pollRole(), p.topology.Count(), rand.Float64()))
 }
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -84,12 +84,12 @@
 // applyReceivedRoster applies or confirms the list of upstreams of a reply.
 func (e *entry) applyReceivedRoster(received *persimwire.Exchange, sent persimclock.Instant) {
 	roster := received.GetRoster()
-	confirmedAt := sent.Add(-time.Duration(roster.GetAgeMs()) * time.Millisecond)
+	span := decodeSpan(roster, sent, e.clock())
 	e.mu.Lock()
 	upToDate := roster.GetDigest() == e.rosterState.digest && roster.GetVersion() > 0
 	e.mu.Unlock()
 	if upToDate {
-		e.confirmRoster(confirmedAt)
+		e.confirmRoster(span, received.GetHost())
 		return
 	}
 	if len(roster.GetItems()) == 0 {
@@ -99,5 +99,5 @@
 	for _, item := range roster.GetItems() {
 		objects = append(objects, platform.Object{Name: item.GetName(), Spec: item.GetValue()})
 	}
-	e.applyRoster(objects, roster.GetVersion(), confirmedAt, received.GetHost())
+	e.applyRoster(objects, roster.GetVersion(), span, received.GetHost())
 }
--- a/persimentry/snapshots.go
+++ b/persimentry/snapshots.go
@@ -33,8 +33,11 @@
 		if !poll.due(time.Now(), age) {
 			return
 		}
+		ctx, cancel := poll.withTimeout(ctx)
+		defer cancel()
+		began := time.Now()
 		err := e.readCatalogue(ctx)
-		poll.record(time.Now(), err)
+		poll.record(began, err)
 		store.observe(err)
 	})
 }
@@ -80,21 +83,12 @@
 	firstRead time.Time
 	objects   []platform.Object
 	digest    uint64
-	// recoveredAt is when the list could be read again after no host could read it.
-	recoveredAt persimclock.Instant
+	outages   outageRecord
 	// listed are the upstreams of the list, keptMissing is set if others are kept besides.
 	listed      []persimcatalog.Upstream
 	keptMissing bool
 }
 
-// reregisterGrace is how long after the store recovers upstreams that are missing
-// from the list are still used; upstreams register again within two seconds.
-const reregisterGrace = 2500 * time.Millisecond
-
-// registrationTTL is the time without a list, read by this or another host, after
-// which registrations may have expired: upstreams renew them every 1.2 s.
-const registrationTTL = 2 * time.Second
-
 // pollRoster reads the list of upstreams from the store when its age requires it.
 func (e *entry) pollRoster(ctx context.Context) {
 	store := &dependency{name: "store, upstreams"}
@@ -103,22 +97,33 @@
 		if !poll.due(time.Now(), e.rosterAge()) {
 			return
 		}
-		requested := persimclock.Now()
+		ctx, cancel := poll.withTimeout(ctx)
+		defer cancel()
+		began, requested := time.Now(), e.clock()
 		e.front.BeginUpstreamsRead()
 		objects, revision, err := e.objects.List(ctx, platform.UpstreamKind)
 		e.front.EndUpstreamsRead(err)
-		poll.record(time.Now(), err)
+		poll.record(began, err)
 		store.observe(err)
-		if err == nil {
-			e.applyRoster(objects, revision, requested, "store")
+		if err != nil {
+			e.recordFailedRead(requested)
+			return
 		}
+		e.applyRoster(objects, revision, readSpan(requested), "store")
 	})
 }
 
+// recordFailedRead records that a read of the list that began at an instant has failed.
+func (e *entry) recordFailedRead(began persimclock.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rosterState.outages.recordFailure(began)
+}
+
 func (e *entry) rosterAge() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return persimclock.Now().Sub(e.rosterState.confirmedAt)
+	return e.clock().Sub(e.rosterState.confirmedAt)
 }
 
 // rosterDigest returns a hash of the names and contents of a list of upstreams.
@@ -131,46 +136,70 @@
 	return sum.Sum64()
 }
 
-// confirmRoster records that the list of upstreams was the newest one at confirmedAt.
-func (e *entry) confirmRoster(confirmedAt persimclock.Instant) {
+// confirmRoster records that the list of upstreams was the newest one at the end of a span.
+func (e *entry) confirmRoster(span readableSpan, source string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rosterState.confirmedAt = max(e.rosterState.confirmedAt, confirmedAt)
-	if e.rosterState.keptMissing && !e.keepsMissing() {
-		e.applyListed("end of the grace time")
+	e.rosterState.confirmedAt = max(e.rosterState.confirmedAt, span.until)
+	e.confirmReadable(span, source)
+	e.leaveMissingLocked(source)
+	e.front.ConfirmUpstreams(span.until)
+}
+
+// confirmReadable records a span in which the store could be read.
+func (e *entry) confirmReadable(span readableSpan, source string) {
+	outages := &e.rosterState.outages
+	known, failedReads := outages.current, outages.failedReads
+	if outages.confirm(span) {
+		klog.InfoS("upstreams: list is current after a gap", "source", source, "gap", span.since.Sub(known.until),
+			"failedReads", failedReads, "returnedWithin", span.since.Sub(span.returned), "age", e.clock().Sub(span.until))
 	}
-	e.front.ConfirmUpstreams(confirmedAt)
 }
 
-// keepsMissing reports whether upstreams that are missing in the list are kept, since they
-// may not have registered again after an outage of the store.
-func (e *entry) keepsMissing() bool {
-	return persimclock.Now().Sub(e.rosterState.recoveredAt) < reregisterGrace && e.rosterState.recoveredAt != 0
+// expireMissing ends the use of upstreams that are missing in the list once the grace time
+// after an outage has ended, also while no read of the list returns.
+func (e *entry) expireMissing(ctx context.Context) {
+	every(ctx, stalenessCheckInterval, func(context.Context) { e.leaveMissing() })
+}
+
+func (e *entry) leaveMissing() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaveMissingLocked("clock")
+}
+
+func (e *entry) leaveMissingLocked(source string) {
+	if e.rosterState.keptMissing && !e.rosterState.outages.keepsMissing(e.clock()) {
+		e.applyListed(source)
+	}
 }
 
 // applyListed applies the upstreams of the list.
 func (e *entry) applyListed(source string) {
-	e.rosterState.keptMissing = e.keepsMissing()
+	keeps := e.rosterState.outages.keepsMissing(e.clock())
+	if keeps != e.rosterState.keptMissing {
+		klog.InfoS("upstreams: missing ones", "kept", keeps, "source", source,
+			"sinceReturn", e.clock().Sub(e.rosterState.outages.current.since))
+	}
+	e.rosterState.keptMissing = keeps
 	e.logRosterChanges(e.rosterState.listed, source)
-	e.roster.Apply(e.rosterState.listed, e.rosterState.keptMissing)
+	e.roster.Apply(e.rosterState.listed, keeps)
 	e.front.SetUpstreams(e.roster.Upstreams())
 }
 
-// applyRoster applies a list of upstreams that was the newest one at confirmedAt.
-func (e *entry) applyRoster(objects []platform.Object, revision int64, confirmedAt persimclock.Instant, source string) {
+// applyRoster applies a list of upstreams that was the newest one at the end of a span.
+func (e *entry) applyRoster(objects []platform.Object, revision int64, span readableSpan, source string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if confirmedAt < e.rosterState.confirmedAt || revision < e.rosterState.revision {
+	e.confirmReadable(span, source)
+	if span.until < e.rosterState.confirmedAt || revision < e.rosterState.revision {
 		return
 	}
-	if e.rosterState.confirmedAt != 0 && confirmedAt.Sub(e.rosterState.confirmedAt) > registrationTTL {
-		e.rosterState.recoveredAt = confirmedAt
-	}
 	if e.rosterState.firstRead.IsZero() {
 		e.rosterState.firstRead = time.Now()
 	}
 	e.rosterState.revision = revision
-	e.rosterState.confirmedAt = confirmedAt
+	e.rosterState.confirmedAt = span.until
 	e.rosterState.objects = objects
 	e.rosterState.digest = rosterDigest(objects)
 	list := make([]persimcatalog.Upstream, 0, len(objects))
@@ -184,7 +213,7 @@
 	}
 	e.rosterState.listed = list
 	e.applyListed(source)
-	e.front.ConfirmUpstreams(confirmedAt)
+	e.front.ConfirmUpstreams(span.until)
 }
 
 // logRosterChanges logs the upstreams that a list adds, marks as leaving or lacks.
@@ -208,6 +237,6 @@
 		delete(wasLeaving, upstream.Incarnation)
 	}
 	for incarnation := range wasLeaving {
-		klog.InfoS("upstream is missing", "id", incarnation.ID, "source", source)
+		klog.InfoS("upstream is missing", "id", incarnation.ID, "source", source, "kept", e.rosterState.keptMissing)
 	}
 }
--- a/persimentry/snapshots_test.go
+++ b/persimentry/snapshots_test.go
@@ -13,6 +13,9 @@
 	"persimmonport.example/platform"
 )
 
+// testContact is the time after which a host that was cut off counts as healthy.
+const testContact = 3 * time.Second
+
 // listOf returns the objects of a list of upstreams.
 func listOf(t *testing.T, ids ...string) []platform.Object {
 	t.Helper()
@@ -41,24 +44,100 @@
 	return ids
 }
 
-// TestMissingUpstreamIsLeftOnceTheGraceTimeEnds guards against requests to an upstream that
-// has left while its host kept missing ones after an outage, when the list then stays as it
-// is.
-func TestMissingUpstreamIsLeftOnceTheGraceTimeEnds(t *testing.T) {
-	built, cleanup, err := New(persimsettings.Deployment{Host: "host-0", StoreAddress: "127.0.0.1:1", DutiesAddress: "127.0.0.1:1", Bounds: testBounds()})
+// newClockedEntry returns an entry host without loops whose clock the test sets.
+func newClockedEntry(t *testing.T, now *persimclock.Instant) *entry {
+	t.Helper()
+	bounds := testBounds()
+	bounds.Contact = testContact
+	built, cleanup, err := New(persimsettings.Deployment{Host: "host-0", StoreAddress: "127.0.0.1:1", DutiesAddress: "127.0.0.1:1", Bounds: bounds})
 	require.NoError(t, err)
 	t.Cleanup(cleanup)
 	e, ok := built.(*entry)
 	require.True(t, ok)
-	outage := persimclock.Now().Add(-2 * registrationTTL)
-	e.applyRoster(listOf(t, "stays", "leaves"), 1, outage, "store")
-	e.applyRoster(listOf(t, "stays"), 2, persimclock.Now(), "store")
-	require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable(), "it may register again")
-	e.confirmRoster(persimclock.Now())
-	require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable())
-	e.mu.Lock()
-	e.rosterState.recoveredAt = persimclock.Now().Add(-reregisterGrace - time.Millisecond)
-	e.mu.Unlock()
-	e.confirmRoster(persimclock.Now())
-	require.Equal(t, []string{"stays"}, e.usable())
+	e.clock = func() persimclock.Instant { return *now }
+	return e
+}
+
+// TestMissingUpstreamIsLeftOnceTheGraceTimeEnds guards against requests to an upstream that
+// has left while its host kept missing ones after an outage, when the list then stays as it
+// is, or can't be read again.
+func TestMissingUpstreamIsLeftOnceTheGraceTimeEnds(t *testing.T) {
+	const start = persimclock.Instant(time.Hour)
+	tests := map[string]func(e *entry, now persimclock.Instant){
+		"the list is confirmed": func(e *entry, now persimclock.Instant) { e.confirmRoster(readSpan(now), "store") },
+		"the store is silent":   func(e *entry, _ persimclock.Instant) { e.leaveMissing() },
+	}
+	for name, check := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			e := newClockedEntry(t, &now)
+			e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(now), "store")
+			now = now.Add(2 * registrationTTL)
+			e.recordFailedRead(now)
+			e.applyRoster(listOf(t, "stays"), 2, readSpan(now), "store")
+			require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable(), "it may register again")
+			now = now.Add(reregisterGrace / 2)
+			check(e, now)
+			now = now.Add(reregisterGrace/2 - time.Millisecond)
+			check(e, now)
+			require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable())
+			now = now.Add(time.Millisecond)
+			check(e, now)
+			require.Equal(t, []string{"stays"}, e.usable())
+		})
+	}
+}
+
+// TestPartitionedHostLeavesUpstreamsThatHaveGone guards against orders that a host sent to
+// upstreams that had left, when it had been cut off from the store and took that for an
+// outage in which their registrations had expired.
+func TestPartitionedHostLeavesUpstreamsThatHaveGone(t *testing.T) {
+	const (
+		start  = persimclock.Instant(time.Hour)
+		healed = start + persimclock.Instant(5500*time.Millisecond)
+		// read is when the host first reads the list again.
+		read = healed + persimclock.Instant(600*time.Millisecond)
+	)
+	arrange := func(t *testing.T, now *persimclock.Instant) *entry {
+		t.Helper()
+		e := newClockedEntry(t, now)
+		e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(start), "store")
+		for at := start.Add(time.Second); at < healed; at = at.Add(700 * time.Millisecond) {
+			e.recordFailedRead(at)
+		}
+		*now = read
+		e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(read), "store")
+		*now = read.Add(500 * time.Millisecond)
+		e.applyRoster(listOf(t, "stays"), 2, readSpan(*now), "store")
+		require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable(), "the store may have been away")
+		return e
+	}
+	t.Run("alone, before it counts as healthy", func(t *testing.T) {
+		now := start
+		e := arrange(t, &now)
+		now = healed.Add(testContact - contactMargin)
+		e.leaveMissing()
+		require.Equal(t, []string{"stays"}, e.usable())
+	})
+	t.Run("once another host tells that the store could be read", func(t *testing.T) {
+		now := start
+		e := arrange(t, &now)
+		other := newClockedEntry(t, &now)
+		other.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(start.Add(-time.Minute)), "store")
+		for at := start.Add(-time.Minute); at < now; at = at.Add(time.Second) {
+			other.confirmRoster(readSpan(at), "store")
+		}
+		other.applyRoster(listOf(t, "stays"), 2, readSpan(now), "store")
+		e.applySnapshots(other.exchangeState(e.exchangeState(nil, "host-1"), "host-0"), now)
+		require.Equal(t, []string{"stays"}, e.usable())
+	})
+	t.Run("also when it lists the one that left first", func(t *testing.T) {
+		now := start
+		e := newClockedEntry(t, &now)
+		e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(start), "store")
+		e.recordFailedRead(start.Add(time.Second))
+		now = read
+		e.applyRoster(listOf(t, "stays"), 2, readableSpan{since: start.Add(-time.Minute), until: read}, "host-1")
+		require.Equal(t, []string{"stays"}, e.usable())
+	})
 }
