One odd entry no longer hides the list of upstreams

Entries went on to other hosts as they were, and four of 1 MB exceed what a host accepts in a message. A page without a decodable entry ended the list.

--- a/persimentry/snapshots.go
+++ b/persimentry/snapshots.go
@@ -84,6 +84,8 @@
 	objects   []platform.Object
 	digest    uint64
 	outages   outageRecord
+	// leftOut are the names of the entries in the list that name no upstream.
+	leftOut map[string]bool
 	// listed are the upstreams of the list, keptMissing is set if others are kept besides.
 	listed      []persimcatalog.Upstream
 	keptMissing bool
@@ -200,20 +202,38 @@
 	}
 	e.rosterState.revision = revision
 	e.rosterState.confirmedAt = span.until
-	e.rosterState.objects = objects
-	e.rosterState.digest = rosterDigest(objects)
+	e.rosterState.objects, e.rosterState.listed = e.decodeRoster(objects)
+	e.rosterState.digest = rosterDigest(e.rosterState.objects)
+	e.applyListed(source)
+	e.front.ConfirmUpstreams(span.until)
+}
+
+// decodeRoster returns the objects of a list that are entries of upstreams, without what no
+// host needs, and their upstreams. What another writer has left is neither used nor passed
+// on to other hosts, whose messages it might fill.
+func (e *entry) decodeRoster(objects []platform.Object) ([]platform.Object, []persimcatalog.Upstream) {
+	entries := make([]platform.Object, 0, len(objects))
 	list := make([]persimcatalog.Upstream, 0, len(objects))
+	leftOut := map[string]bool{}
 	for _, object := range objects {
 		upstream, err := platform.DecodeUpstream(object.Name, object.Spec)
 		if err != nil {
-			klog.V(1).InfoS("upstreams: entry left out", "error", persimlog.ErrorText(err))
+			leftOut[object.Name] = true
+			if !e.rosterState.leftOut[object.Name] {
+				klog.InfoS("upstreams: entry left out", "error", persimlog.ErrorText(err))
+			}
 			continue
 		}
+		spec, err := platform.EncodeUpstream(upstream)
+		if err != nil {
+			klog.ErrorS(nil, "upstreams: entry not passed on", "id", upstream.ID, "error", persimlog.ErrorText(err))
+			continue
+		}
+		entries = append(entries, platform.Object{Name: object.Name, Spec: spec})
 		list = append(list, upstream)
 	}
-	e.rosterState.listed = list
-	e.applyListed(source)
-	e.front.ConfirmUpstreams(span.until)
+	e.rosterState.leftOut = leftOut
+	return entries, list
 }
 
 // logRosterChanges logs the upstreams that a list adds, marks as leaving or lacks.
--- a/persimplatform/objects.go
+++ b/persimplatform/objects.go
@@ -75,11 +75,14 @@
 		if revision == 0 {
 			revision = page.Revision
 		}
-		if !page.More || len(page.Objects) == 0 {
-			logSkipped(kind, skipped)
+		logSkipped(kind, skipped)
+		if !page.More {
 			return all, revision, nil
 		}
-		after = page.Objects[len(page.Objects)-1].Name
+		if page.Last == "" || page.Last == after {
+			return nil, 0, trace.Wrap(ErrUnavailable, "the list of %s does not go on after %q", kind, after)
+		}
+		after = page.Last
 	}
 	return nil, 0, trace.Wrap(ErrUnavailable, "the list of %s has more than %d pages", kind, maxPages)
 }
