Requests that come late in a planned stop are not begun

Here, shown by a test: on an open connection a request with 1 to 2 s of time is passed on 0.3 s before the drain ends, also one that may run once.

Cause: nothing compared the time of a request with the end of the drain.

Evidence: before, five of six cases of TestLateRequestIsNotCutAtTheEndOfADrain and TestRequestWhoseBodyEndsDuringADrainIsRefused fail: the upstream runs the request.

Why the fix works: once the drain has begun, a request whose time ends after the drain is refused with 503 and Retry-After before it is passed on, after its head and again after its body. The lag of the load balancer takes at most half of a short grace time, so that a drain is left.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -150,7 +150,8 @@
 
 // stopEntry keeps serving while the load balancer may still send new connections, then
 // waits for the requests in progress, at most until exitMargin before the end of the
-// grace period. Those that remain are ended with an error.
+// grace period. Those that remain are ended with an error; later ones that might be among
+// them are refused.
 func stopEntry(ctx context.Context, entry persimentry.Entry, servers *entryServers, deployment persimsettings.Deployment) {
 	start := time.Now()
 	klog.InfoS("stop", "inFlight", entry.InFlight())
@@ -158,8 +159,9 @@
 	releaseCtx, cancel := context.WithTimeout(ctx, time.Second)
 	entry.ReleaseLease(releaseCtx)
 	cancel()
-	time.Sleep(time.Until(start.Add(balancerLag)))
-	deadline := start.Add(deployment.Bounds.ShutdownGrace - exitMargin)
+	notice := deployment.Bounds.ShutdownGrace - exitMargin
+	time.Sleep(time.Until(start.Add(min(balancerLag, notice/2))))
+	deadline := start.Add(notice)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := entry.Drain(drainCtx); err != nil {
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -107,7 +107,7 @@
 func (c *call) admit(w http.ResponseWriter) *refusal {
 	f := c.front
 	if f.aborted.Err() != nil {
-		return &refusal{status: http.StatusServiceUnavailable, cause: "host stops", retryDelay: minRetryAfter}
+		return refuseForStop()
 	}
 	age, known := f.CatalogueAge()
 	if !known {
@@ -128,12 +128,24 @@
 		return refused
 	}
 	c.setDeadline()
+	if c.outlastsDrain() {
+		return refuseForStop()
+	}
 	if refused := c.readBody(w, catalogue.Limits()); refused != nil {
 		return refused
 	}
+	// The drain may have begun while the body was read.
+	if c.outlastsDrain() {
+		return refuseForStop()
+	}
 	return c.prepare(organisation)
 }
 
+// refuseForStop returns the refusal of a request that could be broken off as the host stops.
+func refuseForStop() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, cause: "host stops", retryDelay: minRetryAfter}
+}
+
 // denyUnlessStale returns a denial with the given status, or a 503 if the
 // configuration is older than maxDenialAge.
 func denyUnlessStale(age time.Duration, status int, cause string) *refusal {
--- a/persimfront/connections.go
+++ b/persimfront/connections.go
@@ -148,7 +148,19 @@
 	return f.callerConns.serve(server, listener)
 }
 
-func (f *front) Drain(ctx context.Context) error { return f.callerConns.drain(ctx) }
+func (f *front) Drain(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		f.drainEnd.Store(end.UnixNano())
+	}
+	return f.callerConns.drain(ctx)
+}
+
+// outlastsDrain reports whether the request may still be in progress when the drain ends
+// and the host breaks off what is left.
+func (c *call) outlastsDrain() bool {
+	end := c.front.drainEnd.Load()
+	return end != 0 && c.deadline.UnixNano() > end
+}
 
 // leftCause returns the cause that is logged for a request whose connection has ended.
 func (c *call) leftCause() string {
--- a/persimfront/drain_test.go
+++ b/persimfront/drain_test.go
@@ -25,6 +25,14 @@
 	return done
 }
 
+// requireDraining waits until a drain has begun.
+func requireDraining(t *testing.T, h *harness) {
+	t.Helper()
+	f, ok := h.front.(*front)
+	require.True(t, ok)
+	require.Eventually(t, f.callerConns.draining.Load, time.Second, time.Millisecond)
+}
+
 // requireDrained requires that a drain has ended within a time.
 func requireDrained(t *testing.T, done <-chan error, within time.Duration) {
 	t.Helper()
@@ -79,6 +87,68 @@
 	requireDrained(t, done, time.Second)
 }
 
+// TestLateRequestIsNotCutAtTheEndOfADrain guards against requests that came late during a
+// planned stop, were passed on and broken off at its end, among them some that may not be
+// repeated.
+func TestLateRequestIsNotCutAtTheEndOfADrain(t *testing.T) {
+	const grace = time.Second
+	tests := map[string]struct {
+		request string
+		status  int
+		sent    int
+	}{
+		"that may run once":           {requestHead("POST", "/unsafe/") + "Content-Length: 0\r\n\r\n", http.StatusServiceUnavailable, 0},
+		"that may be repeated":        {requestHead("GET", "/safe/") + "\r\n", http.StatusServiceUnavailable, 0},
+		"for a stream":                {requestHead("POST", "/stream/") + "Content-Length: 0\r\n\r\n", http.StatusServiceUnavailable, 0},
+		"whose body comes later":      {requestHead("POST", "/unsafe/") + "Content-Length: 4\r\n\r\n", http.StatusServiceUnavailable, 0},
+		"whose caller waits less":     {requestHead("POST", "/unsafe/") + "X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n", http.StatusOK, 1},
+		"whose caller waits too long": {requestHead("POST", "/stream/") + "X-Deadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			upstream := newFakeUpstream(t, "w1", func(conn net.Conn, req *http.Request, body []byte) bool {
+				time.Sleep(50 * time.Millisecond)
+				return respondOK()(conn, req, body)
+			})
+			h := newHarness(t, upstream)
+			conn := serveWrapped(t, h, unwrapped)
+			time.Sleep(20 * time.Millisecond)
+			h.front.DisableKeepAlives()
+			ctx, cancel := context.WithTimeout(t.Context(), grace)
+			defer cancel()
+			go func() { _ = h.front.Drain(ctx) }()
+			requireDraining(t, h)
+			_, err := io.WriteString(conn, test.request)
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, test.status, resp.StatusCode)
+			require.True(t, resp.Close, "the connection carries no more requests")
+			if test.status == http.StatusServiceUnavailable {
+				require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			}
+			require.Len(t, upstream.requests(), test.sent)
+		})
+	}
+}
+
+// TestRequestWhoseBodyEndsDuringADrainIsRefused covers a request that came before the drain.
+func TestRequestWhoseBodyEndsDuringADrainIsRefused(t *testing.T) {
+	upstream := newFakeUpstream(t, "w1", respondOK())
+	h := newHarness(t, upstream)
+	conn := serveWrapped(t, h, unwrapped)
+	_, err := io.WriteString(conn, requestHead("POST", "/unsafe/")+"Content-Length: 4\r\n\r\nab")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return h.front.InFlight() == 1 }, time.Second, time.Millisecond)
+	h.front.DisableKeepAlives()
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	go func() { _ = h.front.Drain(ctx) }()
+	requireDraining(t, h)
+	requireAnswer(t, conn, bufio.NewReader(conn), "cd", http.StatusServiceUnavailable)
+	require.Empty(t, upstream.requests())
+}
+
 // TestSilentConnectionsDoNotDelayADrain covers connections that have carried no request, or
 // that are idle between two.
 func TestSilentConnectionsDoNotDelayADrain(t *testing.T) {
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -77,6 +77,8 @@
 	DisableKeepAlives()
 	// Drain accepts no more connections of callers and closes each one once it has no request
 	// in progress. It returns when none is left, or the context's error if that ends first.
+	// Requests that come from then on are refused if they may take longer than the context's
+	// deadline.
 	Drain(ctx context.Context) error
 	// AbortRequests ends all requests in progress: those whose response has not begun are
 	// answered with an error, the others are broken off.
@@ -160,6 +162,9 @@
 	callerConns *callerConns
 	crashWatch  *crashWatch
 
+	// drainEnd is when the drain ends, in nanoseconds since the Unix epoch, or zero if no drain
+	// with an end has begun.
+	drainEnd atomic.Int64
 	// aborted ends when AbortRequests is called.
 	aborted context.Context
 	abort   context.CancelFunc
