A request goes only to an upstream that is in the list as it is sent

Cause: an upstream is chosen by a list of up to 1.8 s, the host connects for up to 0.3 s, and the check after that looked at the age of the list only, which may have been renewed meanwhile, not at the upstream. A stream that goes on at another upstream was not checked at all after it had connected.

Why the fix works: there is one way to a connection, and once it stands the list must be current and hold the upstream, in the same incarnation and not leaving. A resumed stream tries up to four upstreams that can't be reached, as a first attempt does; before, it was broken off.

--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -68,9 +68,11 @@
 	bounds       persimsettings.Bounds
 	quotaLimiter persimquota.Limiter
 	placers      map[string]persimplace.Placer
-	budgets      map[string]persimretry.Window
-	demand       map[string]Demand
-	decayedAt    time.Time
+	// usable are the upstreams of all services that take requests.
+	usable    map[persimcatalog.Incarnation]bool
+	budgets   map[string]persimretry.Window
+	demand    map[string]Demand
+	decayedAt time.Time
 	// activeSince is the time of the first demand after a pause of more than
 	// demandWindow, lastCounted that of the latest.
 	activeSince time.Time
@@ -132,6 +134,20 @@
 		d.placer(name).SetUpstreams(list)
 	}
 	d.pressure.SetUpstreams(now, incarnations(upstreams))
+	d.usable = usable(upstreams)
+}
+
+// usable returns the incarnations of the upstreams that are not leaving.
+func usable(upstreams map[string][]persimcatalog.Upstream) map[persimcatalog.Incarnation]bool {
+	all := map[persimcatalog.Incarnation]bool{}
+	for _, list := range upstreams {
+		for _, upstream := range list {
+			if !upstream.Leaving {
+				all[upstream.Incarnation] = true
+			}
+		}
+	}
+	return all
 }
 
 // incarnations returns the incarnations of all upstreams.
--- a/persimfront/resume.go
+++ b/persimfront/resume.go
@@ -19,18 +19,12 @@
 	if a.attempts >= a.route.MaxAttempts || !a.mayRetry() {
 		return nil
 	}
-	choice, refused := a.chooseUpstream()
-	if refused != nil {
+	choice, conn := a.chooseAnother(ctx)
+	if conn == nil {
 		return nil
 	}
 	f := a.front
 	a.attempts++
-	a.tried = append(a.tried, choice.Upstream.ID)
-	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
-	if err != nil {
-		a.recordConnectFailure(choice.Upstream, persimplace.OutcomeFailed, choice)
-		return nil
-	}
 	f.mu.Lock()
 	a.ticket = f.dispatcher.placer(a.service).StartAttempt(time.Now(), a.placement, choice)
 	f.mu.Unlock()
@@ -54,6 +48,24 @@
 	return exchange
 }
 
+// chooseAnother returns an upstream that can be reached, and a connection to it, or nil if
+// there is none.
+func (a *attempt) chooseAnother(ctx context.Context) (persimplace.Choice, *persimconn.Conn) {
+	for a.connectFailures < maxConnectFailures && ctx.Err() == nil {
+		choice, refused := a.chooseUpstream()
+		if refused != nil {
+			klog.InfoS("stream not resumed", "request", a.id, "cause", refused.cause)
+			return choice, nil
+		}
+		conn, cause := a.connect(ctx, choice)
+		if conn != nil {
+			return choice, conn
+		}
+		klog.InfoS("stream not resumed yet", "request", a.id, "upstream", choice.Upstream.ID, "cause", cause)
+	}
+	return persimplace.Choice{}, nil
+}
+
 // continues reports whether a response can continue a stream that began with a header. A
 // response of another type is no part of the stream, whatever its status.
 func (a *attempt) continues(response *http.Response, began http.Header) bool {
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -201,26 +201,11 @@
 // returns the result, a server error to send if no other attempt succeeds, and the cause
 // of a failure.
 func (c *call) sendAttempt(ctx context.Context, w http.ResponseWriter, choice persimplace.Choice) (attemptResult, *bufferedResponse, string) {
-	c.upstream = choice.Upstream.ID
-	c.tried = append(c.tried, choice.Upstream.ID)
-	f := c.front
-	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		c.returnUnsent(choice)
-		return resultNotRun, nil, "canceled while connecting"
-	}
-	if err != nil {
-		c.connectFailures++
-		c.recordConnectFailure(choice.Upstream, persimplace.OutcomeConnectFailed, choice)
-		return resultNotRun, nil, "upstream not reached"
-	}
-	// The host may have stood still while it connected.
-	if f.upstreamsTooOld() {
-		conn.Release(0)
-		c.returnUnsent(choice)
-		c.connectFailures++
-		return resultNotRun, nil, "list of upstreams is old"
+	conn, cause := c.connect(ctx, choice)
+	if conn == nil {
+		return resultNotRun, nil, cause
 	}
+	f := c.front
 	if f.metrics != nil {
 		f.metrics.UpstreamsAge(f.rosterProof.age(persimclock.Now()))
 	}
@@ -244,6 +229,44 @@
 	return a.handleResponse(ctx, w, exchange)
 }
 
+// connect returns a connection to the chosen upstream, or nil and the cause if nothing may be
+// sent to it. The list of upstreams may have changed or grown old while the host connected.
+func (c *call) connect(ctx context.Context, choice persimplace.Choice) (*persimconn.Conn, string) {
+	c.upstream = choice.Upstream.ID
+	c.tried = append(c.tried, choice.Upstream.ID)
+	f := c.front
+	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		c.returnUnsent(choice)
+		return nil, "canceled while connecting"
+	}
+	if err != nil {
+		c.connectFailures++
+		c.recordConnectFailure(choice.Upstream, persimplace.OutcomeConnectFailed, choice)
+		return nil, "upstream not reached"
+	}
+	cause := ""
+	switch {
+	case f.upstreamsTooOld():
+		cause = "list of upstreams is old"
+	case !f.takesRequests(choice.Upstream.Incarnation):
+		cause = "upstream left"
+	default:
+		return conn, ""
+	}
+	conn.Release(0)
+	c.returnUnsent(choice)
+	c.connectFailures++
+	return nil, cause
+}
+
+// takesRequests reports whether the list holds an upstream that is not leaving.
+func (f *front) takesRequests(upstream persimcatalog.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dispatcher.usable[upstream]
+}
+
 // returnUnsent takes back that a request is sent to the chosen upstream.
 func (c *call) returnUnsent(choice persimplace.Choice) {
 	f := c.front
