A failed read excuses an old list only until the list is confirmed

A host whose last own read of the list failed, and that gets the list from others since, would send requests by a list of any age, for example after a pause.

Cause: the exception for a store that can't be read was a flag of the last read, which only the next own read cleared.

Evidence: TestRosterProof, "another host read it after the store failed", fails before.

Why the fix works: a failure counts only if its read began after the instant at which the list was last the newest one, whoever proved that.

--- a/persimfront/proof.go
+++ b/persimfront/proof.go
@@ -20,10 +20,11 @@
 // the store can't be read: then no upstream's leaving is acknowledged either.
 type rosterProof struct {
 	// confirmedAt is the persimclock.Instant at which the list was last the newest one,
-	// readSince that at which a read that has not ended was started; both may be zero.
+	// readSince that at which a read that has not ended was started, and failedAt that at
+	// which the last one was started, if it failed; each may be zero.
 	confirmedAt atomic.Int64
 	readSince   atomic.Int64
-	readFailed  atomic.Bool
+	failedAt    atomic.Int64
 }
 
 func (p *rosterProof) confirm(at persimclock.Instant) {
@@ -38,8 +39,11 @@
 func (p *rosterProof) beginRead(at persimclock.Instant) { p.readSince.Store(int64(at)) }
 
 func (p *rosterProof) endRead(err error) {
-	p.readFailed.Store(err != nil)
-	p.readSince.Store(0)
+	began := p.readSince.Swap(0)
+	if err == nil {
+		began = 0
+	}
+	p.failedAt.Store(began)
 }
 
 // age returns the time since the list was last confirmed, or zero if it never was.
@@ -51,10 +55,14 @@
 	return now.Sub(persimclock.Instant(at))
 }
 
+// failedSinceProof reports whether a read that was started after the list was confirmed has
+// failed. An earlier failure says nothing of the store now: another host could read it.
+func (p *rosterProof) failedSinceProof() bool { return p.failedAt.Load() > p.confirmedAt.Load() }
+
 // tooOld reports whether the list must not be used, given the time within which a
 // leaving upstream must get no more requests; zero means no bound.
 func (p *rosterProof) tooOld(now persimclock.Instant, bound time.Duration) bool {
-	if bound <= 0 || p.age(now) <= bound-sendMargin || p.readFailed.Load() {
+	if bound <= 0 || p.age(now) <= bound-sendMargin || p.failedSinceProof() {
 		return false
 	}
 	since := p.readSince.Load()
--- a/persimfront/proof_test.go
+++ b/persimfront/proof_test.go
@@ -60,6 +60,17 @@
 			p.beginRead(at(time.Second))
 			p.endRead(errors.New("away"))
 		}, time.Minute, false},
+		"another host read it after the store failed": {func(p *rosterProof) {
+			p.confirm(at(0))
+			p.beginRead(at(time.Second))
+			p.endRead(errors.New("away"))
+			p.confirm(at(2 * time.Second))
+		}, 2*time.Second + bound, true},
+		"the store fails again": {func(p *rosterProof) {
+			p.confirm(at(2 * time.Second))
+			p.beginRead(at(3 * time.Second))
+			p.endRead(errors.New("away"))
+		}, time.Minute, false},
 		"the store is silent": {func(p *rosterProof) { p.confirm(at(0)); p.beginRead(at(time.Second)) }, bound, false},
 		"the read has just begun": {func(p *rosterProof) {
 			p.confirm(at(0))
