Proofs that pass between hosts no longer get younger

What callers saw: nothing measured. Read by the review: while the store is away, hosts could take their configuration, with its keys, and their list of upstreams for younger than they were.

Cause: ages in exchanges were cut to whole milliseconds, so that an age that goes round between hosts loses up to a millisecond with each message.

Evidence: TestProofsThatGoRoundDoNotGetYounger, 300 messages between two hosts, fails before: the proof is later than the read that it stands for.

Why the fix works: ages of proofs are rounded up; all else in the way of a proof errs to the safe side already.

--- a/persimentry/codec.go
+++ b/persimentry/codec.go
@@ -194,6 +194,12 @@
 	return windows
 }
 
+// encodeProofAge returns the age of a proof in milliseconds, rounded up: a proof that passes
+// from host to host must not get younger on its way.
+func encodeProofAge(age time.Duration) int64 {
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
+
 // decodeSpan returns the span in which the store could be read that a snapshot tells of.
 // Its end and the earliest return of the store are no later than in truth, its start is no
 // earlier, whenever between two instants the other host wrote the snapshot.
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -172,7 +172,7 @@
 		Roster:        e.rosterSnapshot(now),
 	}
 	if known {
-		state.Catalogue.AgeMs = age.Milliseconds()
+		state.Catalogue.AgeMs = encodeProofAge(age)
 	}
 	for _, incarnation := range e.roster.Leaving() {
 		state.Leaving = append(state.Leaving, &persimwire.Leaving{Id: incarnation.ID, Born: incarnation.Born})
@@ -190,10 +190,10 @@
 	span := e.rosterState.outages.current
 	return &persimwire.Snapshot{
 		Version:    e.rosterState.revision,
-		AgeMs:      now.Sub(e.rosterState.confirmedAt).Milliseconds(),
+		AgeMs:      encodeProofAge(now.Sub(e.rosterState.confirmedAt)),
 		Digest:     e.rosterState.digest,
 		ReadableMs: now.Sub(span.since).Milliseconds(),
-		ReturnedMs: now.Sub(span.returned).Milliseconds(),
+		ReturnedMs: encodeProofAge(now.Sub(span.returned)),
 	}
 }
 
--- a/persimentry/snapshots_test.go
+++ b/persimentry/snapshots_test.go
@@ -1,6 +1,7 @@
 package persimentry
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -141,3 +142,32 @@
 		require.Equal(t, []string{"stays"}, e.usable())
 	})
 }
+
+// TestProofsThatGoRoundDoNotGetYounger guards against keys and upstreams that are used for too
+// long while the store is away: hosts that told each other the ages of their copies, cut to
+// whole milliseconds, made them younger with each message.
+func TestProofsThatGoRoundDoNotGetYounger(t *testing.T) {
+	const rounds = 300
+	read := persimclock.Now()
+	var hosts [2]*entry
+	for i := range hosts {
+		hosts[i] = newClockedEntry(t, nil)
+		hosts[i].clock = persimclock.Now
+		require.NoError(t, hosts[i].applyCatalogue(fmt.Appendf(nil, catalogueFormat, 1, "", `"key"`), read, "store"))
+		hosts[i].applyRoster(listOf(t, "u1"), 1, readSpan(read), "store")
+	}
+	for i := range rounds {
+		from, to := hosts[i%2], hosts[(i+1)%2]
+		request := to.exchangeState(nil, "from")
+		sent := persimclock.Now()
+		to.applySnapshots(from.exchangeState(request, "to"), sent)
+	}
+	for _, h := range hosts {
+		require.LessOrEqual(t, h.rosterState.confirmedAt, read)
+		require.LessOrEqual(t, h.rosterState.outages.current.until, read)
+		elapsed := persimclock.Now().Sub(read)
+		age, known := h.front.CatalogueAge()
+		require.True(t, known)
+		require.GreaterOrEqual(t, age, elapsed)
+	}
+}
