Targets of requests go out byte for byte

Cause: the target went through url.URL, whose opaque part gets the scheme in front if it begins with two slashes.

Why the fix works: persimconn writes the request line itself, with the target as it was read. A target that is no path gets 400, and nothing is run.

--- a/persimconn/exchange.go
+++ b/persimconn/exchange.go
@@ -28,7 +28,7 @@
 	earlyResponse bool
 }
 
-// Send writes the request and reads the header of the response. The connection is
+// Send writes the request, with its RequestURI as the target, and reads the header of the response. The connection is
 // closed when the context ends and after an error.
 func Send(ctx context.Context, conn *Conn, req *http.Request) (*Exchange, error) {
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -55,7 +55,7 @@
 }
 
 func (c *Conn) write(req *http.Request) error {
-	if err := req.Write(c.writer); err != nil {
+	if err := writeRequest(c.writer, req); err != nil {
 		return err
 	}
 	return c.writer.Flush()
--- a/persimfront/attempt.go
+++ b/persimfront/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -203,7 +202,8 @@
 	})
 }
 
-// targetURL returns a URL that keeps the caller's request target unchanged.
-func (c *call) targetURL(address string) *url.URL {
-	return &url.URL{Scheme: "http", Host: address, Opaque: c.requestTarget}
+// forwardable reports whether a request target names a path and can be written as it was
+// read. Others are absolute ones, those of CONNECT and "*".
+func forwardable(target string) bool {
+	return strings.HasPrefix(target, "/") && !strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == '\x7f' })
 }
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -117,6 +117,9 @@
 	if limit := catalogue.Limits().HeaderBytes; limit > 0 && headerBytes(c.request) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, cause: "head too large"}
 	}
+	if !forwardable(c.requestTarget) {
+		return &refusal{status: http.StatusBadRequest, cause: "target can't be forwarded"}
+	}
 	path, _, _ := strings.Cut(c.requestTarget, "?")
 	route, ok := catalogue.Match(c.request.Host, path)
 	if !ok {
@@ -335,13 +338,9 @@
 	header := c.forwardHeader.Clone()
 	header.Set(platform.HeaderUpstream, upstream.ID)
 	header.Set(platform.HeaderTimeLeft, platform.EncodeTimeLeft(time.Until(c.deadline)))
-	if _, ok := header["User-Agent"]; !ok {
-		// An empty value stops net/http from sending its own User-Agent.
-		header["User-Agent"] = []string{""}
-	}
 	req := &http.Request{
 		Method:        c.request.Method,
-		URL:           c.targetURL(upstream.Address),
+		RequestURI:    c.requestTarget,
 		Host:          c.request.Host,
 		Header:        header,
 		ContentLength: int64(len(c.body)),
@@ -351,8 +350,6 @@
 	}
 	if len(c.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
-	} else if c.request.Method != http.MethodGet && c.request.Method != http.MethodHead {
-		req.Body = http.NoBody
 	}
 	return req.WithContext(ctx)
 }
--- a/persimfront/connections.go
+++ b/persimfront/connections.go
@@ -145,6 +145,8 @@
 	server.Handler = f
 	server.ConnState = onConnState
 	server.ConnContext = withConn
+	// The general handler would answer "OPTIONS *" without an upstream.
+	server.DisableGeneralOptionsHandler = true
 	return f.callerConns.serve(server, listener)
 }
 
--- a/persimfront/harness_test.go
+++ b/persimfront/harness_test.go
@@ -107,8 +107,10 @@
 	front   Front
 	address string
 	usage   usageCounter
-	// version is that of the current configuration.
+	// version and limits are those of the current configuration, routes its routes.
 	version int64
+	limits  persimcatalog.Limits
+	routes  []persimcatalog.Route
 }
 
 type usageCounter struct {
@@ -142,7 +144,7 @@
 	t.Helper()
 	pool, closePool := persimconn.New()
 	t.Cleanup(closePool)
-	h := &harness{usage: usageCounter{byOrganisation: map[string]int{}}}
+	h := &harness{usage: usageCounter{byOrganisation: map[string]int{}}, routes: testRoutes()}
 	h.front = New(WithBounds(testBounds), WithPool(pool), WithCounter(&h.usage))
 	h.setLimits(persimcatalog.Limits{BodyBytes: 1 << 20})
 	h.front.ConfirmCatalogue(persimclock.Now())
@@ -163,7 +165,8 @@
 // setLimits applies a configuration with limits on connections.
 func (h *harness) setLimits(limits persimcatalog.Limits) {
 	h.version++
-	h.front.SetCatalogue(persimcatalog.New(h.version, testRoutes(), []persimcatalog.Service{{Name: "s"}},
+	h.limits = limits
+	h.front.SetCatalogue(persimcatalog.New(h.version, h.routes, []persimcatalog.Service{{Name: "s"}},
 		[]persimcatalog.Organisation{{Name: "org", Keys: []string{"key"}}}, limits))
 }
 
