Memory for callers and upstreams is reserved before it is read

Cause: a body counted only once it was whole, so any number could be read at a time, each into a buffer that grows by copying; the runtime knew no limit.

Kept responses, buffers of streams and heads counted nowhere.

Why the fix works: all bytes that are held for others come out of one budget, 0.3 of the host's memory, and are reserved before they are read; the runtime's limit is 0.7. A body without room gets 503 at once, with the time until there is room, and its rest is dropped, so that the refusal is not lost to a reset.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -86,6 +87,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	limitMemory(deployment.MemoryBytes)
 	entry, cleanup, err := persimentry.New(deployment)
 	if err != nil {
 		return trace.Wrap(err)
@@ -111,6 +113,18 @@
 	return nil
 }
 
+// memoryLimitShare is the share of the host's memory above which the runtime collects garbage
+// more often; the rest is for what it doesn't count.
+const memoryLimitShare = 0.7
+
+// limitMemory sets the memory limit of the runtime, given the memory of the host, which is
+// zero if it isn't known.
+func limitMemory(memoryBytes int64) {
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryBytes) * memoryLimitShare))
+	}
+}
+
 // entryServers holds the HTTP servers of an entry host: the one for callers, and those
 // for readiness and metrics.
 type entryServers struct {
@@ -160,7 +174,7 @@
 	entry.ReleaseLease(releaseCtx)
 	cancel()
 	notice := deployment.Bounds.ShutdownGrace - exitMargin
-	time.Sleep(time.Until(start.Add(min(balancerLag, notice/2))))
+	time.Sleep(time.Until(start.Add(min(balancerLag, notice*3/4))))
 	deadline := start.Add(notice)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -139,6 +139,7 @@
 	e.hubState = newHubState(e.startedAt, deployment, incarnation)
 	e.lease.SetAcquireDelay(acquireDelay(deployment.MemoryBytes))
 	e.front = persimfront.New(
+		persimfront.WithBodyMemory(bodyMemory(deployment.MemoryBytes)),
 		persimfront.WithBounds(deployment.Bounds),
 		persimfront.WithCentre(deployment.Centre),
 		persimfront.WithPool(pool),
@@ -154,6 +155,19 @@
 	return e, cleanup, nil
 }
 
+// bodyMemoryShare is the share of the host's memory in which bytes are held for callers and
+// upstreams. As much again may be garbage, and the rest is for the program.
+const bodyMemoryShare = 0.3
+
+// bodyMemory returns the number of bytes that may be held for callers and upstreams, given
+// the memory of the host, which is zero if it isn't known.
+func bodyMemory(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return persimfront.DefaultBodyMemory
+	}
+	return int64(float64(memoryBytes) * bodyMemoryShare)
+}
+
 // usageCounter counts started requests under the lock of the entry.
 type usageCounter struct{ *entry }
 
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -41,6 +42,8 @@
 	requestTarget string
 	forwardHeader http.Header
 	body          []byte
+	// held is the memory that the request takes.
+	held holding
 	// placement describes the request to the placer.
 	placement persimplace.Request
 	// cost is the cost in units of the organisation's quota.
@@ -91,7 +94,9 @@
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { f.heldBodyBytes.Add(-int64(len(c.body))) }()
+	c.held = holding{memory: f.memory}
+	defer c.held.releaseAll()
+	c.held.add(int64(headerBytes(r)))
 	if refused := c.admit(w); refused != nil {
 		c.refuse(w, *refused)
 		return
@@ -193,35 +198,39 @@
 	c.deadline = c.arrived.Add(timeout)
 }
 
-// readBody reads the body and counts its bytes as held. It refuses a body above the
-// limit, and any body while the held bytes exceed the memory for bodies.
+// readBody reads the body, for which memory is reserved first. It refuses a body above the
+// limit, and one for which there is no memory.
 func (c *call) readBody(w http.ResponseWriter, limits persimcatalog.Limits) *refusal {
-	if limits.BodyBytes > 0 && c.request.ContentLength > limits.BodyBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
+	size := c.request.ContentLength
+	if size == 0 {
+		return nil
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = math.MaxInt64
 	}
-	if c.front.heldBodyBytes.Load() > c.front.bodyMemory {
-		return &refusal{status: http.StatusServiceUnavailable, cause: "bodies fill the memory", retryDelay: minRetryAfter}
+	if size > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		klog.ErrorS(nil, "front: read deadline not set", "request", c.id, "error", persimlog.ErrorText(err))
 	}
-	reader := io.Reader(c.request.Body)
-	if limits.BodyBytes > 0 {
-		reader = http.MaxBytesReader(w, c.request.Body, limits.BodyBytes)
-	}
-	body, err := io.ReadAll(reader)
+	body, err := c.held.readAll(c.request.Body, size, limit)
 	if errDeadline := control.SetReadDeadline(time.Time{}); errDeadline != nil {
 		klog.ErrorS(nil, "front: read deadline not cleared", "request", c.id, "error", persimlog.ErrorText(errDeadline))
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errMemoryFull):
+		return &refusal{
+			status: http.StatusServiceUnavailable, cause: "bodies fill the memory",
+			retryDelay: c.front.memory.wait(time.Now(), max(size, int64(len(body)))),
+		}
+	case err != nil:
 		return &refusal{status: http.StatusBadRequest, cause: "body not whole"}
+	case int64(len(body)) > limit:
+		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
 	}
-	c.front.heldBodyBytes.Add(int64(len(body)))
 	c.body = body
 	return nil
 }
@@ -303,6 +312,14 @@
 
 // refuse sends a refusal to the caller and records it.
 func (c *call) refuse(w http.ResponseWriter, r refusal) {
+	control := http.NewResponseController(w)
+	bodyComes := c.body == nil && c.request.ContentLength != 0 && c.request.Header.Get("Expect") == ""
+	if bodyComes {
+		// Without it the server would read from the body before it sends the response.
+		if err := control.EnableFullDuplex(); err != nil {
+			klog.V(1).InfoS("refusal: sent after the body", "request", c.id, "error", persimlog.ErrorText(err))
+		}
+	}
 	header := w.Header()
 	if r.retryDelay > 0 {
 		header.Set("Retry-After", platform.EncodeRetryAfter(r.retryAfter()))
@@ -312,12 +329,33 @@
 	}
 	header.Set("Content-Length", "0")
 	w.WriteHeader(r.status)
-	if err := http.NewResponseController(w).Flush(); err != nil {
+	if err := control.Flush(); err != nil {
 		klog.InfoS("refusal not sent", "request", c.id, "status", r.status, "cause", r.cause, "error", persimlog.ErrorText(err))
 		c.record(0, c.leftCause())
 		return
 	}
 	c.record(r.status, r.cause)
+	if bodyComes {
+		c.discardBody(control)
+	}
+}
+
+// maxDiscardTime limits the time in which the body of a refused request is read.
+const maxDiscardTime = 5 * time.Second
+
+// discardBody reads the body of a refused request and keeps none of it. A connection that is
+// closed while the caller still sends may be reset, and the response lost.
+func (c *call) discardBody(control *http.ResponseController) {
+	if err := control.SetReadDeadline(time.Now().Add(maxDiscardTime)); err != nil {
+		return
+	}
+	n, err := io.Copy(io.Discard, c.request.Body)
+	if errDeadline := control.SetReadDeadline(time.Time{}); err == nil {
+		err = errDeadline
+	}
+	if err != nil {
+		klog.V(1).InfoS("refusal: body not read to its end", "request", c.id, "bytes", n, "error", persimlog.ErrorText(err))
+	}
 }
 
 // record writes the access log line of the request and records its metrics. The
--- a/persimfront/events.go
+++ b/persimfront/events.go
@@ -40,6 +40,8 @@
 	lastID        string
 	// onSound is called once the response has gone on for some events.
 	onSound func()
+	// held is the memory of the request, in which the buffer counts.
+	held *holding
 	// events counts the events, firstAt and lastAt are when the first and the last one
 	// arrived.
 	events          int
@@ -71,11 +73,15 @@
 // stream breaks off, an event is too long or the caller is gone.
 func (e *eventWriter) copy(from io.Reader) error {
 	buffer := make([]byte, 0, streamBufferBytes)
+	e.held.add(int64(cap(buffer)))
+	defer func() { e.held.release(int64(cap(buffer))) }()
 	for {
 		if len(buffer) >= maxEventBytes {
 			return errEventTooLong
 		}
+		before := cap(buffer)
 		buffer = slices.Grow(buffer, streamReadBytes)
+		e.held.add(int64(cap(buffer) - before))
 		n, err := from.Read(buffer[len(buffer):cap(buffer)])
 		// An end of event may begin in what was scanned before.
 		scanned := max(0, len(buffer)-len(longestEventEnd))
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -141,8 +141,8 @@
 	return func(c *config) { c.onLeaving = onLeaving }
 }
 
-// WithBodyMemory sets the number of bytes of buffered request bodies above which
-// requests are refused.
+// WithBodyMemory sets the number of bytes, held for callers and upstreams, above which
+// requests with a body are refused.
 func WithBodyMemory(bytes int64) Option { return func(c *config) { c.bodyMemory = bytes } }
 
 // DefaultBodyMemory is the default for WithBodyMemory, in bytes.
@@ -156,8 +156,7 @@
 	rosterProof        rosterProof
 	keepAlivesDisabled atomic.Bool
 	inFlight           atomic.Int64
-	// heldBodyBytes is the size of all request bodies in memory.
-	heldBodyBytes atomic.Int64
+	memory             *memory
 
 	callerConns *callerConns
 	crashWatch  *crashWatch
@@ -180,7 +179,7 @@
 	for _, opt := range opts {
 		opt(&c)
 	}
-	f := &front{config: c, dispatcher: newDispatcher(c.bounds)}
+	f := &front{config: c, dispatcher: newDispatcher(c.bounds), memory: &memory{limit: c.bodyMemory}}
 	f.callerConns = newCallerConns(f.limits)
 	f.aborted, f.abort = context.WithCancel(context.Background())
 	f.crashWatch = newCrashWatch(c.pool, f.recordCrash)
--- a/persimfront/front_test.go
+++ b/persimfront/front_test.go
@@ -239,7 +239,7 @@
 	require.Positive(t, refused)
 	front, ok := h.front.(*front)
 	require.True(t, ok)
-	require.Eventually(t, func() bool { return front.heldBodyBytes.Load() == 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return front.memory.heldBytes() == 0 }, time.Second, time.Millisecond)
 }
 
 // The loads of single hosts and of all others together must not be added up when a
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -57,7 +58,11 @@
 	if a.route.Kind == persimcatalog.KindStreaming && response.StatusCode < http.StatusMultipleChoices {
 		return a.relayStream(ctx, w, exchange)
 	}
-	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedBytes+1))
+	size := min(response.ContentLength, maxBufferedBytes+1)
+	body, err := a.held.readAll(exchange, size, maxBufferedBytes)
+	if errors.Is(err, errMemoryFull) {
+		return a.relayUnbuffered(w, exchange, body)
+	}
 	if err != nil {
 		exchange.Abandon()
 		a.recordBreak(ctx, "response broke off", true, 0, err)
@@ -156,6 +161,7 @@
 		header:  exchange.Response.Header,
 		status:  exchange.Response.StatusCode,
 		onSound: a.recordSound,
+		held:    &a.held,
 	}
 	writer.source(exchange)
 	err := writer.copy(exchange)
