A planned stop is noticed in a series of reloads

Cause: SIGHUP and SIGTERM came through one channel with room for four, and a signal that finds it full is dropped. A host that reads its settings while five SIGHUP come does not notice a SIGTERM: it stays ready, takes requests to the end of the grace time and is killed with them.

Evidence: the former loop, run alone in a scratch test with 20 signals while a reload blocks, goes on after SIGTERM.

Why the fix works: the signals to stop have a channel of their own, with room for the first; those to reload count as one while the settings are read.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -78,9 +78,11 @@
 }
 
 func runEntry(ctx context.Context, path string) error {
-	// Signals are caught first, since an unhandled signal terminates the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Signals are caught first, since an unhandled signal terminates the process. Those to stop
+	// have a channel of their own: a full one drops further signals.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	flush := logToStdout()
 	defer flush()
 	deployment, err := readDeployment(path)
@@ -102,17 +104,24 @@
 	klog.InfoS("start", "host", deployment.Host, "centre", deployment.Centre, "callers", deployment.CallerAddress, "version", version)
 	go func() { _ = entry.Run(ctx) }()
 	go watchSettings(ctx, path)
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			reloadSettings(path)
-			continue
-		}
-		break
-	}
+	awaitStop(stop, reload, func() { reloadSettings(path) })
 	stopEntry(ctx, entry, servers, deployment)
 	return nil
 }
 
+// awaitStop calls onReload for signals to reload until there is one to stop. Signals to reload
+// that come while it runs count as one.
+func awaitStop(stop, reload <-chan os.Signal, onReload func()) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reload:
+			onReload()
+		}
+	}
+}
+
 // memoryLimitShare is the share of the host's memory above which the runtime collects garbage
 // more often; the rest is for what it doesn't count.
 const memoryLimitShare = 0.7
