A body larger than the memory for bodies is denied, not put off

What callers saw: nothing yet; found on reading the diff. A body larger than the whole budget got 503 with a Retry-After that no wait would fulfil.

Cause: the limit on bodies came from the configuration alone.

Evidence: TestBodyBeyondAllMemoryIsDenied.

Why the fix works: the smaller of the configured limit and the budget holds, and beyond it the answer is 413.

--- a/persimconn/exchange.go
+++ b/persimconn/exchange.go
@@ -28,8 +28,8 @@
 	earlyResponse bool
 }
 
-// Send writes the request, with its RequestURI as the target, and reads the header of the response. The connection is
-// closed when the context ends and after an error.
+// Send writes the request, with its RequestURI as the target, and reads the header of the
+// response. The connection is closed when the context ends and after an error.
 func Send(ctx context.Context, conn *Conn, req *http.Request) (*Exchange, error) {
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if ctx.Err() != nil {
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -205,9 +204,10 @@
 	if size == 0 {
 		return nil
 	}
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = math.MaxInt64
+	// A body that is larger than the memory can never be read.
+	limit := c.front.memory.limit
+	if limits.BodyBytes > 0 {
+		limit = min(limit, limits.BodyBytes)
 	}
 	if size > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
--- a/persimfront/memory_test.go
+++ b/persimfront/memory_test.go
@@ -166,6 +166,17 @@
 	requireNothingHeld(t, h)
 }
 
+// TestBodyBeyondAllMemoryIsDenied covers a body that no wait would make room for.
+func TestBodyBeyondAllMemoryIsDenied(t *testing.T) {
+	h := newHarness(t, newFakeUpstream(t, "w1", respondOK()))
+	f, ok := h.front.(*front)
+	require.True(t, ok)
+	f.memory.limit = 100 << 10
+	resp, _, err := h.get(t, "POST", "/unsafe/", fmt.Sprintf("Content-Length: %d\r\n", 200<<10))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+}
+
 // TestResponsesAreNotKeptWithoutMemory covers a host whose memory is full: responses go on
 // as they come.
 func TestResponsesAreNotKeptWithoutMemory(t *testing.T) {
