--- a/cmd/persimmonport/memory_test.go
+++ b/cmd/persimmonport/memory_test.go
@@ -25,15 +25,16 @@
 )
 
 const (
-	// memoryHostIP is the address of the entry host, whose metrics have a fixed port.
-	memoryHostIP = "127.0.35.2"
-	hostMemory   = 284 << 20
-	longBody     = 4 << 20
+	hostMemory = 284 << 20
+	longBody   = 4 << 20
 	// bodyPiece is sent at once, piecePause is the time until the next piece.
 	bodyPiece  = 64 << 10
 	piecePause = 20 * time.Millisecond
 )
 
+// memoryHostIP returns the address of the entry host, whose metrics have a fixed port.
+func memoryHostIP() string { return fmt.Sprintf("127.35.%d.2", os.Getpid()%250) }
+
 // startMemoryHost starts the process of an entry host with one upstream and returns its id
 // and its address for callers.
 func startMemoryHost(t *testing.T) (int, string) {
@@ -64,11 +65,11 @@
 	port := func() string {
 		_, port, err := net.SplitHostPort(freeAddress(t))
 		require.NoError(t, err)
-		return net.JoinHostPort(memoryHostIP, port)
+		return net.JoinHostPort(memoryHostIP(), port)
 	}
 	address := storeServer.Listener.Addr().String()
 	deployment := persimsettings.Deployment{
-		Host: "host", IP: memoryHostIP, Centre: "centre", CallerAddress: port(), ReadyAddress: port(), PeerPort: 7600,
+		Host: "host", IP: memoryHostIP(), Centre: "centre", CallerAddress: port(), ReadyAddress: port(), PeerPort: 7600,
 		StoreAddress: address, DutiesAddress: address, MemoryBytes: hostMemory,
 		Bounds: persimsettings.Bounds{
 			ShutdownGrace: 8 * time.Second, UpstreamDrain: 3 * time.Second, ConfigApply: 3 * time.Second, Contact: 3 * time.Second,
