Soak: targets byte for byte, memory of processes, responses cut by their time

One check was wrong: it called a stream lost that its host had cut when the time of its request was over. In its place upstreams record when they are done with a request: such a stream counts as lost if its upstream had finished half a second before, so that a host that holds back responses is still found.

--- a/persimsoak/checker.go
+++ b/persimsoak/checker.go
@@ -38,6 +38,8 @@
 	// configuration change.
 	storeFaultSlack = 6 * time.Second
 	recoveryWindow  = time.Second
+	// maxHoldTime is the time that a host may take to pass on the end of a response.
+	maxHoldTime = 500 * time.Millisecond
 	// longIdleTime is above the time limit of a host for a write to a caller.
 	longIdleTime = 5 * time.Second
 )
@@ -187,6 +189,9 @@
 	if o.complete || o.timedOut || len(executions) == 0 || h.overlaps(&h.processFaults, o.sent, o.ended) {
 		return
 	}
+	if ranOutOfTime(o, executions) {
+		return
+	}
 	for _, e := range executions {
 		if c.system.upstreams.hadFault(e.upstream, e.at.Add(-bounds().Contact), o.ended) {
 			return
@@ -201,6 +206,15 @@
 		o.id, h.name, o.status, o.idle, o.ended.Format(time.TimeOnly))
 }
 
+// ranOutOfTime reports whether a response was cut when the time of its request was over, while
+// its upstream was still at work or had only just finished.
+func ranOutOfTime(o outcome, executions []execution) bool {
+	heldBack := slices.ContainsFunc(executions, func(e execution) bool {
+		return !e.finished.IsZero() && o.ended.Sub(e.finished) > maxHoldTime
+	})
+	return o.ended.Sub(o.began) >= requestTimeout && !heldBack
+}
+
 // awaitRecovery waits until requests are served again after the last event.
 func (c *checker) awaitRecovery() {
 	end := time.Now().Add(recoveryTimeout)
@@ -247,6 +261,7 @@
 	}
 	c.checkUnsolicited()
 	c.checkSignals()
+	c.checkMemory()
 	report := Report{Requests: len(c.outcomes), Poison: c.checkPoison()}
 	for _, violation := range c.system.store.Violations() {
 		c.recordViolation("each duty has one holder at a time", "%s", violation)
@@ -305,6 +320,17 @@
 	}
 }
 
+// checkMemory checks that the processes have stayed within the memory of their hosts.
+func (c *checker) checkMemory() {
+	for _, h := range c.system.hosts {
+		most, err := h.mostMemory()
+		c.recordError(err)
+		if most > hostMemory {
+			c.recordViolation("processes stay within their memory", "%s had %d of %d MiB", h.name, most>>20, hostMemory>>20)
+		}
+	}
+}
+
 func (c *checker) checkUnsolicited() {
 	executions := c.system.upstreams.executions
 	executions.mu.Lock()
--- a/persimsoak/operator.go
+++ b/persimsoak/operator.go
@@ -95,7 +95,9 @@
 	if o.routePresent {
 		list = append(list, route(toggledPath, persimcatalog.KindIdempotent, maxAttempts))
 	}
-	return list
+	odd := route("/", persimcatalog.KindIdempotent, maxAttempts)
+	odd.Host = oddHostName
+	return append(list, odd)
 }
 
 func (o *operator) publishInitial() error {
--- a/persimsoak/system.go
+++ b/persimsoak/system.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	hostName    = "soak.example"
+	hostName = "soak.example"
+	// oddHostName is the name of the host whose only route takes all paths.
+	oddHostName = "odd.soak.example"
 	serviceName = "back"
 	centreName  = "catania"
 	// organisationName is the organisation that all callers belong to.
--- a/persimsoak/upstream.go
+++ b/persimsoak/upstream.go
@@ -27,6 +27,8 @@
 	path         string
 	organisation string
 	key          string
+	// finished is when the upstream had written its whole response, or gave up; zero before.
+	finished time.Time
 }
 
 // executionLog holds the executions of all upstreams by request identifier.
@@ -41,6 +43,17 @@
 	l.byRequest[id] = append(l.byRequest[id], e)
 }
 
+// finish records that an upstream is done with a request.
+func (l *executionLog) finish(id, upstream string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, e := range l.byRequest[id] {
+		if e.upstream == upstream {
+			l.byRequest[id][i].finished = at
+		}
+	}
+}
+
 func (l *executionLog) forRequest(id string) []execution {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -66,7 +79,7 @@
 	started := &upstream{id: id}
 	handler := persimstand.NewUpstream(id, func(request string, r *http.Request) {
 		executions.record(request, execution{
-			at: time.Now(), upstream: id, path: r.URL.Path,
+			at: time.Now(), upstream: id, path: r.RequestURI,
 			organisation: r.Header.Get(platform.HeaderOrganisation), key: r.Header.Get(platform.HeaderAPIKey),
 		})
 		onRun(started, r)
@@ -76,8 +89,10 @@
 	})
 	started.stand = handler
 	recorded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		arrivals.record(id, r.Header.Get(platform.HeaderRequestID))
+		request := r.Header.Get(platform.HeaderRequestID)
+		arrivals.record(id, request)
 		handler.ServeHTTP(w, r)
+		executions.finish(request, id, time.Now())
 	})
 	server := &http.Server{Handler: recorded, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
--- a/persimstand/upstream.go
+++ b/persimstand/upstream.go
@@ -110,7 +110,7 @@
 		return
 	}
 	time.Sleep(upstreamRunTime)
-	_, _ = io.WriteString(w, ResponseBody(r.URL.Path, body))
+	_, _ = io.WriteString(w, ResponseBody(r.RequestURI, body))
 }
 
 func rejectNotRun(w http.ResponseWriter, status int) {
