--- a/persimentry/outage_test.go
+++ b/persimentry/outage_test.go
@@ -69,7 +69,7 @@
 }
 
 // partitionedHost is a host that reads the list alone, as the only reader or as one that
-// hears from no other.
+// no other host reaches.
 type partitionedHost struct {
 	outageRecord
 	random   *rand.Rand
--- a/persimentry/snapshots_test.go
+++ b/persimentry/snapshots_test.go
@@ -144,7 +144,7 @@
 }
 
 // TestProofsThatGoRoundDoNotGetYounger guards against keys and upstreams that are used for too
-// long while the store is away: hosts that told each other the ages of their copies, cut to
+// long while the store is away: hosts that exchanged the ages of their copies, cut to
 // whole milliseconds, made them younger with each message.
 func TestProofsThatGoRoundDoNotGetYounger(t *testing.T) {
 	const rounds = 300
