On-demand upstreams make room for reclaimable ones after a reclaim

Cause: the limit of a data centre holds for both kinds of upstreams together. On-demand ones that were ordered while none of the others could be had left no room for orders of reclaimable ones, so that they stayed until the load fell. Ruled out: a price of its own in the plan; the planner already prefers reclaimable ones where there is room. Change: once a reclaim is over, one place is left free to find out whether reclaimable upstreams can be started, and from the first that is accepted a quarter of the maximum is replaced at a time, as long as the rest carries the load.

--- a/persimfleet/upstreams.go
+++ b/persimfleet/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -107,6 +108,7 @@
 	peakUpdatedAt time.Time
 	// lastReclaim is the time at which the last reclaim was detected.
 	lastReclaim time.Time
+	supply      reclaimableSupply
 }
 
 // NewUpstreamPlanner returns a planner without past orders, for a host that has known
@@ -148,9 +150,14 @@
 		return nil
 	}
 	current := countByPool(upstreams)
+	p.supply.observe(current)
 	p.detectReclaims(now, upstreams, current)
 	desired := p.desiredReclaimable(scaling, centres, peak, load.Limited)
+	wanted := maps.Clone(desired)
 	p.addOnDemand(now, scaling, centres, current, desired, peak, load.Limited)
+	if p.lastReclaim.IsZero() || now.Sub(p.lastReclaim) >= reclaimWindow {
+		p.replaceOnDemand(scaling, current, wanted, desired, peak)
+	}
 	return p.pendingOrders(now, scaling, desired, current)
 }
 
@@ -161,6 +168,7 @@
 		pool := CapacityPool{Centre: upstream.Centre, Reclaimable: true}
 		if upstream.Reclaimable && upstream.Leaving && current[pool] == 0 && p.orders[pool].count > 0 {
 			p.lastReclaim = now
+			p.supply.refused = true
 		}
 	}
 }
@@ -298,9 +306,11 @@
 const minReclaimableScaleDown = 2
 
 func (p *upstreamPlanner) RecordAccepted(now time.Time, order UpstreamOrder) {
+	p.supply.recordAccepted(order)
 	p.orders[order.CapacityPool] = pastOrder{count: order.Count, at: now}
 }
 
 func (p *upstreamPlanner) RecordRefused(now time.Time, order UpstreamOrder) {
+	p.supply.recordRefused(order)
 	p.orders[order.CapacityPool] = pastOrder{count: order.Count, at: now, refused: true}
 }
--- a/persimfleet/upstreams_test.go
+++ b/persimfleet/upstreams_test.go
@@ -212,3 +212,29 @@
 		}
 	})
 }
+
+// TestOnDemandUpstreamsAreReplacedAtTheMaximum guards against on-demand upstreams that stay
+// after reclaims, since they take all the room that their data centres have.
+func TestOnDemandUpstreamsAreReplacedAtTheMaximum(t *testing.T) {
+	load := Load{Busy: 16}
+	onDemand := func(s *simulatedPlatform) int {
+		return s.ready[CapacityPool{Centre: "a"}] + s.ready[CapacityPool{Centre: "b"}] + s.ready[CapacityPool{Centre: "c"}]
+	}
+	s := newSimulatedPlatform()
+	s.run(0, 30*time.Second, load, nil)
+	s.refuseReclaimable = true
+	for i, centre := range []string{"a", "b"} {
+		s.reclaim(centre)
+		s.run(time.Duration(30+6*i)*time.Second, 3*time.Second, load, nil)
+		s.leaving = map[CapacityPool]int{}
+		s.run(time.Duration(33+6*i)*time.Second, 3*time.Second, load, nil)
+	}
+	s.run(42*time.Second, 14*time.Second, load, nil)
+	require.GreaterOrEqual(t, onDemand(s), 2*testScaling.Max-2*probeRoom)
+	s.refuseReclaimable = false
+	s.run(56*time.Second, 40*time.Second, load, func(at time.Duration) {
+		require.GreaterOrEqual(t, float64(s.total()), load.Busy, "%v after the start", at)
+	})
+	require.Zero(t, onDemand(s))
+	require.Equal(t, 3*testScaling.Max, s.total())
+}
