Shared prompt parts are fetched from the upstream that caches them

Cause: a prompt that is not sent to the upstream that caches its shared parts is read again whole, though engines can fetch the parts from each other; nothing asked for that. Ruled out: choosing an upstream by what it could fetch, since requests would then no longer gather where their prefix is cached; exact lists of cached parts, as following them costs calls at every upstream. Change: where the configuration says that a token's cache is transferred in 3 us or less, a request names the upstream to which this host lately sent the same parts, else the one that all hosts prefer for them. Elsewhere nothing changes; the choice is the same.

--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -106,11 +106,13 @@
 	}
 	d.quotaLimiter.SetQuotas(now, quotas)
 	for name, service := range catalogue.Services() {
-		capacity := 0
+		engine := persimcatalog.Engine{}
 		if service.Engine != nil {
-			capacity = service.Engine.KVCapacityTokens
+			engine = *service.Engine
 		}
-		d.placer(name).SetCacheCapacity(capacity)
+		d.placer(name).SetCacheCapacity(engine.KVCapacityTokens)
+		transferTime, _ := engine.TransferTime()
+		d.placer(name).SetTransferTime(transferTime)
 	}
 }
 
