Only requests that the quota admits count as demand for a service

Cause: the tokens of requests were counted as demand before the quota was asked. Change: the quota is asked first; the retry budget still counts every request. Measured: the new test finds 200 requests a second of demand on the code before (by reading, the order of the calls is the change) and 10 now, the quota.

--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -283,17 +283,11 @@
 	return placement
 }
 
-// chargeQuota counts the request as demand for its service and charges its cost to
-// the organisation's quota.
+// chargeQuota charges the cost of the request to the organisation's quota.
 func (f *front) chargeQuota(c *call, demand Demand) *refusal {
-	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.dispatcher.recordArrival(now, c.service, demand)
-	if c.organisation == "" {
-		return nil
-	}
-	wait, ok := f.dispatcher.quotaLimiter.Admit(now, c.organisation, c.cost)
+	wait, ok := f.dispatcher.admit(time.Now(), c.service, c.organisation, c.cost, demand)
 	if !ok {
 		return &refusal{status: http.StatusTooManyRequests, cause: "quota", retryDelay: wait}
 	}
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -264,11 +264,18 @@
 	return budget
 }
 
-// recordArrival counts a request for a service as demand and in the service's retry
-// budget.
-func (d *dispatcher) recordArrival(now time.Time, service string, demand Demand) {
+// admit counts a request in the retry budget of its service and charges its cost to the
+// organisation's quota, if there is an organisation. Only what the quota admits is demand for
+// the service: upstreams for the rest would have nothing to do.
+func (d *dispatcher) admit(now time.Time, service, organisation string, cost float64, demand Demand) (time.Duration, bool) {
 	d.budget(now, service).RecordRequest(now)
+	if organisation != "" {
+		if wait, ok := d.quotaLimiter.Admit(now, organisation, cost); !ok {
+			return wait, false
+		}
+	}
 	d.addDemand(now, service, demand)
+	return 0, true
 }
 
 // addDemand adds to the demand average of a service.
--- a/persimfront/dispatcher_test.go
+++ b/persimfront/dispatcher_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"persimmonport.example/persimcatalog"
 )
 
 // TestDemandRateFromTheStart checks that the rate of a load that starts abruptly is
@@ -40,7 +42,7 @@
 			retries, requests := 0, 0
 			for elapsed := time.Duration(0); elapsed < testBounds.RetryWindow; elapsed += time.Second / requestsPerSecond {
 				now := start.Add(elapsed)
-				d.recordArrival(now, "s", Demand{})
+				d.admit(now, "s", "", 0, Demand{})
 				requests++
 				if d.budget(now, "s").Withdraw(now) {
 					retries++
@@ -52,3 +54,20 @@
 		})
 	}
 }
+
+// TestDemandLeavesOutWhatTheQuotaRefuses guards against upstreams that are ordered for the
+// requests of an organisation that repeats what its quota refuses.
+func TestDemandLeavesOutWhatTheQuotaRefuses(t *testing.T) {
+	const quota, offered = 10.0, 200
+	d := newDispatcher(testBounds)
+	start := time.Unix(1000, 0)
+	d.quotaLimiter.SetQuotas(start, map[string]persimcatalog.Quota{"o": {PerSecond: quota, Burst: quota}})
+	now := start
+	for range 20 * offered {
+		now = now.Add(time.Second / offered)
+		d.admit(now, "s", "o", 1, Demand{Requests: 1, OutputTokens: 100})
+	}
+	rate := d.demandRates(now)["s"]
+	require.InEpsilon(t, quota, rate.Requests, 0.2)
+	require.InEpsilon(t, 100*quota, rate.OutputTokens, 0.2)
+}
