Revert: Hosts tell each other where long prefixes were placed

Cause: callers were served worse. Ruled out: that too little was fetched. Not traced: how long a fetch takes at an engine. Change: the former code.

--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -168,7 +168,6 @@
 		Reports:       encodeReports(local.Reports),
 		CrashEvidence: encodeEvidence(local.Crashes),
 		Limits:        encodeLimits(local.Pressure),
-		Placements:    encodePlacements(local.Placements, e.wasHub),
 		Catalogue:     &persimwire.Snapshot{Version: e.rawCatalogue.version, AgeMs: unknownAge},
 		Roster:        e.rosterSnapshot(now),
 	}
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -22,7 +22,6 @@
 	e.front.RecordReports(decodeReports(received.GetReports()))
 	e.front.MergeCrashes(decodeEvidence(received.GetCrashEvidence()))
 	e.front.MergePressure(received.GetHost(), decodeLimits(received.GetLimits()))
-	e.front.RecordPlacements(decodePlacements(received.GetPlacements()))
 	demand := decodeDemand(received.GetDemand())
 	e.front.AssumeSpeeds(demand)
 	e.mu.Lock()
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -215,12 +215,6 @@
 	}
 }
 
-func (d *dispatcher) recordPlacements(now time.Time, placements []persimplace.Placement) {
-	for _, placer := range d.placers {
-		placer.RecordPlacements(now, placements)
-	}
-}
-
 // observe records the state that another host sent.
 func (d *dispatcher) observe(now time.Time, host, incarnation string, state SharedState) {
 	d.quotaLimiter.Observe(now, now, host, incarnation, state.Admitted)
@@ -241,7 +235,6 @@
 	for _, placer := range d.placers {
 		maps.Copy(state.Loads, placer.OwnLoads())
 		maps.Copy(state.Reports, placer.Reports(now))
-		state.Placements = append(state.Placements, placer.Placements(now)...)
 	}
 	return state
 }
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -55,8 +55,6 @@
 	RecordReports(reports map[uint64]persimplace.TimedReport)
 	// MergeCrashes adds what another host knows of prompt parts that crash upstreams.
 	MergeCrashes(evidence persimquarantine.Evidence)
-	// RecordPlacements records the requests with long shared prefixes that other hosts placed.
-	RecordPlacements(placements []persimplace.Placement)
 	// SetHostNames sets the names of this host and of all others, among which the limits
 	// of upstreams are divided.
 	SetHostNames(self string, others []string)
@@ -100,8 +98,6 @@
 	Crashes persimquarantine.Evidence
 	// Pressure is what is known of the limits that upstreams name.
 	Pressure []persimpressure.News
-	// Placements are the requests with long shared prefixes that were lately placed.
-	Placements []persimplace.Placement
 }
 
 // Counter counts the requests that started at an upstream, for the usage of each
@@ -271,12 +267,6 @@
 	f.dispatcher.recordReports(reports)
 }
 
-func (f *front) RecordPlacements(placements []persimplace.Placement) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.dispatcher.recordPlacements(time.Now(), placements)
-}
-
 func (f *front) MergeCrashes(evidence persimquarantine.Evidence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/persimplace/fetch.go
+++ b/persimplace/fetch.go
@@ -3,70 +3,57 @@
 import "time"
 
 const (
-	// maxTransferTime is the time to transfer the KV cache of a token up to which prefixes
-	// are transferred: a thousand tokens then take no longer than a step of an engine.
+	// maxTransferTime is the time to transfer the KV cache of a token up to which parts of a
+	// prompt are fetched: a thousand tokens then take no longer than a step of an engine.
 	maxTransferTime = 3 * time.Microsecond
-	// minFetchTokens is the length of a shared prefix, in tokens, from which on it is
-	// fetched; a shorter one is prefilled in the time that a fetch takes to begin.
-	minFetchTokens = 1024
-	// fetchDelay is the time that a fetch takes to begin.
-	fetchDelay = 5 * time.Millisecond
+	// minFetchTokens is the length of the shared parts, in tokens, from which on they are
+	// fetched; shorter ones are prefilled in the time that a fetch takes to begin.
+	minFetchTokens = 512
 )
 
 func (p *placer) SetTransferTime(perToken time.Duration) { p.transferTime = perToken }
 
-// transfersPrefixes reports whether upstreams fetch prefixes from each other.
-func (p *placer) transfersPrefixes() bool {
-	return p.transferTime > 0 && p.transferTime <= maxTransferTime
-}
-
-// transfersPrefix reports whether upstreams fetch the shared prefix of a request from each
-// other.
-func (p *placer) transfersPrefix(request Request) bool {
-	return p.transfersPrefixes() && sharedTokens(request) >= minFetchTokens
-}
-
-// prefixHolder is the upstream that caches most of the shared prefix of a prompt, or none.
-type prefixHolder struct {
-	state        *upstreamState
-	tokens       int
-	transferTime time.Duration
+// withFetch returns a choice with the upstream from which the shared parts of the prompt are
+// fetched, if that is faster than to prefill them again. The choice itself does not depend on
+// it, so that requests still gather at the upstream that caches their prefix.
+func (p *placer) withFetch(now time.Time, request Request, choice Choice, preferred *upstreamState) Choice {
+	if p.transferTime <= 0 || p.transferTime > maxTransferTime {
+		return choice
+	}
+	chosen, ok := p.byID[choice.Upstream.ID]
+	if !ok || sharedTokens(request)-chosen.cachedPrefix(now, request) < minFetchTokens {
+		return choice
+	}
+	source := p.prefixHolder(now, request, chosen)
+	if source == nil && preferred != chosen {
+		source = preferred
+	}
+	if source == nil || source.ejected(now) {
+		return choice
+	}
+	choice.FetchFrom = source.Address
+	choice.PrefillTokens = min(choice.PrefillTokens, chosen.uncachedTokens(now, request, true))
+	// How much the source has cached is not known well enough to learn from the time.
+	choice.measurable = false
+	return choice
 }
 
-// prefixHolder returns the upstream that is known to cache most of the shared prefix, if it
-// is transferred.
-func (p *placer) prefixHolder(now time.Time, request Request) prefixHolder {
-	if !p.transfersPrefix(request) {
-		return prefixHolder{}
-	}
-	holder := prefixHolder{tokens: minFetchTokens - 1, transferTime: p.transferTime}
+// prefixHolder returns the upstream to which this host lately sent the longest part of the
+// shared prefix, if that is enough to fetch it.
+func (p *placer) prefixHolder(now time.Time, request Request, chosen *upstreamState) *upstreamState {
+	var holder *upstreamState
+	longest := minFetchTokens - 1
 	for _, s := range p.sorted {
-		if s.Leaving || s.ejected(now) {
+		if s == chosen || s.Leaving {
 			continue
 		}
-		if cached := s.cachedPrefix(now, request); cached > holder.tokens {
-			holder.state, holder.tokens = s, cached
+		if cached := s.cachedPrefix(now, request); cached > longest {
+			holder, longest = s, cached
 		}
 	}
 	return holder
 }
 
-// fetch lets a choice fetch what the holder caches of the prefix beyond what the chosen
-// upstream does, and returns the time that the transfer takes. It changes nothing if there
-// is too little to fetch.
-func (h prefixHolder) fetch(now time.Time, chosen *upstreamState, request Request, choice *Choice) time.Duration {
-	if h.state == nil || h.state == chosen {
-		return 0
-	}
-	fetched := h.tokens - chosen.cachedPrefix(now, request)
-	if fetched < minFetchTokens {
-		return 0
-	}
-	choice.FetchFrom = h.state.Address
-	choice.PrefillTokens = max(0, choice.PrefillTokens-fetched)
-	return fetchDelay + time.Duration(fetched)*h.transferTime
-}
-
 // sharedTokens returns the length of the parts that other requests may share.
 func sharedTokens(request Request) int {
 	sum := 0
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -168,11 +168,6 @@
 	// SetTransferTime sets the time to transfer the KV cache of one token between upstreams,
 	// or zero if it is not transferred.
 	SetTransferTime(perToken time.Duration)
-	// Placements returns the requests with long shared prefixes that were lately placed, by
-	// this host or as far as it knows by others, where prefixes are transferred.
-	Placements(now time.Time) []Placement
-	// RecordPlacements records what other hosts placed.
-	RecordPlacements(now time.Time, placements []Placement)
 	// Choose returns the upstream with the least expected time to the first byte, or false
 	// with what is known of those that take no requests now.
 	Choose(now time.Time, request Request) (Choice, bool)
@@ -217,7 +212,6 @@
 	byHash        map[uint64]*upstreamState
 	sorted        []*upstreamState
 	peers         map[string]peerState
-	placements    placementLog
 	// serviceTime is the exponential moving average of the response time of a plain service.
 	serviceTime time.Duration
 }
@@ -299,7 +293,7 @@
 // choose returns the best upstream that is not leaving and was not tried before.
 // Without includeEjected it also skips ejected upstreams, up to their maximum number.
 func (p *placer) choose(now time.Time, request Request, includeEjected bool) (Choice, bool) {
-	preferred, holder := p.preferred(request), p.prefixHolder(now, request)
+	preferred := p.preferred(request)
 	var best Choice
 	var bestCost time.Duration
 	found := false
@@ -313,7 +307,7 @@
 			ejectionsLeft--
 			continue
 		}
-		choice := p.estimate(now, s, request, preferred, holder)
+		choice := p.estimate(now, s, request, preferred)
 		cost := choice.Expected + time.Duration(p.random.Int64N(int64(jitter)))
 		if found && cost >= bestCost {
 			continue
@@ -326,6 +320,9 @@
 		best, bestCost, found = choice, cost, true
 	}
 	best.PassedOver = passedOver
+	if found {
+		best = p.withFetch(now, request, best, preferred)
+	}
 	return best, found
 }
 
@@ -336,10 +333,9 @@
 }
 
 // preferred returns the upstream that rendezvous hashing selects for the shared
-// prefix of a prompt, which is the same on all hosts. For a prefix that is transferred, none
-// is preferred.
+// prefix of a prompt, which is the same on all hosts.
 func (p *placer) preferred(request Request) *upstreamState {
-	if len(request.Parts) < 2 || p.transfersPrefix(request) {
+	if len(request.Parts) < 2 {
 		return nil
 	}
 	prefix := request.Parts[len(request.Parts)-2]
@@ -358,7 +354,7 @@
 }
 
 // estimate returns the choice of an upstream with its expected time to the first byte.
-func (p *placer) estimate(now time.Time, s *upstreamState, request Request, preferred *upstreamState, holder prefixHolder) Choice {
+func (p *placer) estimate(now time.Time, s *upstreamState, request Request, preferred *upstreamState) Choice {
 	load := p.load(now, s)
 	slots := max(1, s.Slots)
 	choice := Choice{Upstream: s.Upstream, Requests: load.Requests}
@@ -370,16 +366,15 @@
 		return choice
 	}
 	choice.PrefillTokens = s.uncachedTokens(now, request, s == preferred)
-	transfer := holder.fetch(now, s, request, &choice)
 	pendingTokens := load.Urgent
 	if !request.Urgent {
 		pendingTokens += load.Normal
 	}
 	speed := p.model.Speed()
 	prefill := float64(speed.Prefill(pendingTokens+choice.PrefillTokens)) * slowdown
-	choice.Expected = transfer + time.Duration(prefill) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
+	choice.Expected = time.Duration(prefill) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
 	choice.pendingTokens = pendingTokens
-	choice.measurable = queued == 0 && transfer == 0 && slowdown <= maxMeasurableSlowdown && mostlyUnshared(request, choice.PrefillTokens)
+	choice.measurable = queued == 0 && slowdown <= maxMeasurableSlowdown && mostlyUnshared(request, choice.PrefillTokens)
 	return choice
 }
 
@@ -424,7 +419,6 @@
 	t := &Ticket{state: s, request: request, prefillTokens: choice.PrefillTokens, sentAt: now, expected: choice.Expected, pendingTokens: choice.pendingTokens, measurable: choice.measurable}
 	s.addAttempt(t)
 	s.cacheParts(now, request, p.cacheCapacity)
-	p.recordPlacement(now, s, request)
 	return t
 }
 
