--- a/persimcatalog/catalogue.go
+++ b/persimcatalog/catalogue.go
@@ -79,26 +79,12 @@
 	KVCapacityTokens int
 	// KVBytesPerToken is the KV cache size of one token, in bytes.
 	KVBytesPerToken float64
-	// KVLinkMbps is the bandwidth of the link over which KV cache is transferred, in
-	// megabits per second.
-	KVLinkMbps float64
-	KVTransfer bool
-	KVBackup   bool
+	KVTransfer      bool
+	KVBackup        bool
 	// TokensPerEvent is the number of tokens in an event of a stream.
 	TokensPerEvent int
 }
 
-// TransferTime returns the time to transfer the KV cache of one token between upstreams, or
-// false if it can't be transferred.
-func (e Engine) TransferTime() (time.Duration, bool) {
-	if !e.KVTransfer || e.KVLinkMbps <= 0 || e.KVBytesPerToken <= 0 {
-		return 0, false
-	}
-	const bitsPerByte, bitsPerMegabit = 8, 1e6
-	seconds := e.KVBytesPerToken * bitsPerByte / (e.KVLinkMbps * bitsPerMegabit)
-	return time.Duration(seconds * float64(time.Second)), true
-}
-
 // Scaling limits how many upstreams may be started for a service in a data centre
 // and gives their prices.
 type Scaling struct {
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -366,12 +366,9 @@
 }
 
 // upstreamRequest builds the request to an upstream.
-func (c *call) upstreamRequest(ctx context.Context, choice persimplace.Choice) *http.Request {
+func (c *call) upstreamRequest(ctx context.Context, upstream persimcatalog.Upstream) *http.Request {
 	header := c.forwardHeader.Clone()
-	header.Set(platform.HeaderUpstream, choice.Upstream.ID)
-	if choice.FetchFrom != "" {
-		header.Set(platform.HeaderCacheFetch, choice.FetchFrom)
-	}
+	header.Set(platform.HeaderUpstream, upstream.ID)
 	header.Set(platform.HeaderTimeLeft, platform.EncodeTimeLeft(time.Until(c.deadline)))
 	req := &http.Request{
 		Method:        c.request.Method,
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -106,13 +106,11 @@
 	}
 	d.quotaLimiter.SetQuotas(now, quotas)
 	for name, service := range catalogue.Services() {
-		engine := persimcatalog.Engine{}
+		capacity := 0
 		if service.Engine != nil {
-			engine = *service.Engine
+			capacity = service.Engine.KVCapacityTokens
 		}
-		d.placer(name).SetCacheCapacity(engine.KVCapacityTokens)
-		transferTime, _ := engine.TransferTime()
-		d.placer(name).SetTransferTime(transferTime)
+		d.placer(name).SetCacheCapacity(capacity)
 	}
 }
 
--- a/persimfront/resume.go
+++ b/persimfront/resume.go
@@ -29,7 +29,7 @@
 	a.ticket = f.dispatcher.placer(a.service).StartAttempt(time.Now(), a.placement, choice)
 	f.mu.Unlock()
 	a.upstream = choice.Upstream
-	req := a.upstreamRequest(ctx, choice)
+	req := a.upstreamRequest(ctx, choice.Upstream)
 	if stream.lastID != "" {
 		req.Header.Set(platform.HeaderEventID, stream.lastID)
 	}
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -217,7 +217,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := a.watchSilence(cancel, choice.Expected)
-	exchange, err := c.exchange(ctx, conn, choice.Upstream, c.upstreamRequest(ctx, choice))
+	exchange, err := c.exchange(ctx, conn, choice.Upstream, c.upstreamRequest(ctx, choice.Upstream))
 	stop()
 	if err != nil {
 		return a.handleSendError(err)
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -121,9 +121,6 @@
 	// where there is no other: it is the shortest time until one of them does.
 	PassedOver int
 	Wait       time.Duration
-	// FetchFrom is the address of the upstream from which the shared parts of the prompt are
-	// fetched, or empty if they are not.
-	FetchFrom string
 }
 
 // Outcome says how an attempt ended.
@@ -165,9 +162,6 @@
 	// SetCacheCapacity sets the prompt cache capacity of an upstream, in tokens. It is zero
 	// for a plain service.
 	SetCacheCapacity(capacity int)
-	// SetTransferTime sets the time to transfer the KV cache of one token between upstreams,
-	// or zero if it is not transferred.
-	SetTransferTime(perToken time.Duration)
 	// Choose returns the upstream with the least expected time to the first byte, or false
 	// with what is known of those that take no requests now.
 	Choose(now time.Time, request Request) (Choice, bool)
@@ -207,7 +201,6 @@
 type placer struct {
 	config
 	cacheCapacity int
-	transferTime  time.Duration
 	byID          map[string]*upstreamState
 	byHash        map[uint64]*upstreamState
 	sorted        []*upstreamState
@@ -320,9 +313,6 @@
 		best, bestCost, found = choice, cost, true
 	}
 	best.PassedOver = passedOver
-	if found {
-		best = p.withFetch(now, request, best, preferred)
-	}
 	return best, found
 }
 
