--- a/persimsettings/deployment.go
+++ b/persimsettings/deployment.go
@@ -24,6 +24,8 @@
 	OrdersUpstreams bool
 	// MemoryBytes is the memory limit of the host.
 	MemoryBytes int64
+	// Descriptors is the limit on open file descriptors of the host, or zero if it is not known.
+	Descriptors int
 	Bounds      Bounds
 }
 
