Benchmark of requests on connections as a process serves them

Cause: BenchmarkForward serves callers without the connections that the front watches, so work on each read of a connection is not in its figure. Change: BenchmarkForwardServed beside it, which differs in that only. Nothing measured yet.

--- a/persimfront/forward_bench_test.go
+++ b/persimfront/forward_bench_test.go
@@ -17,6 +17,17 @@
 // BenchmarkForward measures a request on a kept connection through the front, with bodies
 // of several lengths.
 func BenchmarkForward(b *testing.B) {
+	benchmarkForward(b, func(f Front, server *http.Server, listener net.Listener) error {
+		server.Handler = f
+		return server.Serve(listener)
+	})
+}
+
+// BenchmarkForwardServed is BenchmarkForward with connections that the front watches, as a
+// process serves them.
+func BenchmarkForwardServed(b *testing.B) { benchmarkForward(b, Front.Serve) }
+
+func benchmarkForward(b *testing.B, serve func(Front, *http.Server, net.Listener) error) {
 	for _, size := range []int{0, 800, 64 << 10} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -40,8 +51,8 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			server := &http.Server{Handler: f}
-			go func() { _ = server.Serve(callers) }()
+			server := &http.Server{}
+			go func() { _ = serve(f, server, callers) }()
 			defer func() { _ = server.Close() }()
 			conn, err := net.Dial("tcp4", callers.Addr().String())
 			if err != nil {
