Tests of callers that nobody controls, with a real process

Cause: callers that keep no limits ended a process, which ran out of memory (docs/design/demand-and-rollouts.md, section 3). Change: TestUncontrolledCallers starts a process for each kind of input, with 96 MiB of memory, 360 descriptors of which 200 are for files, heads of 16 KiB and bodies of 1 MiB, and sends the input from 200 connections at once. Each case requires that the process lives, that VmHWM stays under 98,304 KiB and sockets under 160, and that an ordinary request is answered afterwards. The number of clients and the bounds follow from the settings and are fixed by this commit.

--- a/cmd/persimmonport/memory_test.go
+++ b/cmd/persimmonport/memory_test.go
@@ -35,9 +35,26 @@
 // memoryHostIP returns the address of the entry host, whose metrics have a fixed port.
 func memoryHostIP() string { return fmt.Sprintf("127.35.%d.2", os.Getpid()%250) }
 
-// startMemoryHost starts the process of an entry host with one upstream and returns its id
-// and its address for callers.
+// testHost is what a process of an entry host is given.
+type testHost struct {
+	memory      int64
+	descriptors int
+	limits      persimcatalog.Limits
+	// timeout is that of the only route.
+	timeout time.Duration
+}
+
+// startMemoryHost starts the process of an entry host that takes the longest bodies.
 func startMemoryHost(t *testing.T) (int, string) {
+	t.Helper()
+	return testHost{
+		memory: hostMemory, limits: persimcatalog.Limits{BodyBytes: longBody, IdleTimeout: time.Minute}, timeout: 30 * time.Second,
+	}.start(t)
+}
+
+// start starts the process of an entry host with one upstream and returns its id and its
+// address for callers.
+func (h testHost) start(t *testing.T) (int, string) {
 	t.Helper()
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "persimmonport")
@@ -53,8 +70,8 @@
 	t.Cleanup(upstream.Close)
 	store := persimstand.NewStore()
 	spec, err := platform.EncodeCatalogue(persimcatalog.New(1, []persimcatalog.Route{{
-		Name: "r", Host: "h", Prefix: "/x/", Timeout: 30 * time.Second, MaxAttempts: 1, Splits: []persimcatalog.Split{{Service: "s", Weight: 1}},
-	}}, []persimcatalog.Service{{Name: "s"}}, nil, persimcatalog.Limits{BodyBytes: longBody, IdleTimeout: time.Minute}))
+		Name: "r", Host: "h", Prefix: "/x/", Timeout: h.timeout, MaxAttempts: 1, Splits: []persimcatalog.Split{{Service: "s", Weight: 1}},
+	}}, []persimcatalog.Service{{Name: "s"}}, nil, h.limits))
 	require.NoError(t, err)
 	store.Put(platform.ConfigKind, platform.ConfigName, spec)
 	require.NoError(t, store.PutUpstream(persimcatalog.Upstream{
@@ -70,7 +87,7 @@
 	address := storeServer.Listener.Addr().String()
 	deployment := persimsettings.Deployment{
 		Host: "host", IP: memoryHostIP(), Centre: "centre", CallerAddress: port(), ReadyAddress: port(), PeerPort: 7600,
-		StoreAddress: address, DutiesAddress: address, MemoryBytes: hostMemory,
+		StoreAddress: address, DutiesAddress: address, MemoryBytes: h.memory, Descriptors: h.descriptors,
 		Bounds: persimsettings.Bounds{
 			ShutdownGrace: 8 * time.Second, UpstreamDrain: 3 * time.Second, ConfigApply: 3 * time.Second, Contact: 3 * time.Second,
 			KeyRevocation: time.Minute, Lease: 3 * time.Second, UsageWindow: 5 * time.Second, RetryWindow: 10 * time.Second, QuotaWindow: 8 * time.Second,
