Pool: connections to upstreams are limited

Cause: nothing bounds the connections to upstreams, of which each request in progress takes one and idle ones are kept, so together with those of callers they can use up the descriptors of the host. Change: WithMaxConns. At the limit an idle connection makes room, else Get returns ErrTooManyConns and nothing is sent.

--- a/persimconn/pool.go
+++ b/persimconn/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 	dialTimeout  time.Duration
 	idle         time.Duration
 	maxIdleConns int
+	maxConns     int
 }
 
 // Option changes the configuration of a pool.
@@ -47,6 +49,14 @@
 	return func(c *config) { c.idle = timeout }
 }
 
+// WithMaxConns limits the number of open connections to all upstreams. Zero means no limit.
+func WithMaxConns(conns int) Option {
+	return func(c *config) { c.maxConns = conns }
+}
+
+// ErrTooManyConns reports that no connection was opened, since as many as allowed are in use.
+var ErrTooManyConns = errors.New("too many connections to upstreams")
+
 // Pool opens connections and keeps idle ones for reuse.
 type Pool interface {
 	// Get returns an idle or a new connection to an address.
@@ -63,6 +73,8 @@
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
 	idle map[string][]*Conn
+	// open is the number of connections that are open or being opened.
+	open int
 }
 
 // New returns a pool and the function that closes it.
@@ -85,6 +97,14 @@
 	writer  *bufio.Writer
 	reused  bool
 	expires time.Time
+	closed  sync.Once
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.closed.Do(c.pool.removeOpen)
+	return err
 }
 
 // Reused reports whether the connection has served an earlier request.
@@ -102,9 +122,13 @@
 		}
 		_ = conn.Close()
 	}
+	if !p.addOpen() {
+		return nil, ErrTooManyConns
+	}
 	dialer := net.Dialer{Timeout: p.dialTimeout}
 	netConn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.removeOpen()
 		return nil, err
 	}
 	head := &headLimiter{from: netConn}
@@ -118,6 +142,43 @@
 	}, nil
 }
 
+// addOpen counts a connection that is about to be opened, and closes an idle one where there
+// are as many as allowed. It returns false if all are in use.
+func (p *pool) addOpen() bool {
+	p.mu.Lock()
+	var surplus *Conn
+	if p.maxConns > 0 && p.open >= p.maxConns {
+		surplus = p.anyIdle()
+		if surplus == nil {
+			p.mu.Unlock()
+			return false
+		}
+	}
+	p.open++
+	p.mu.Unlock()
+	if surplus != nil {
+		_ = surplus.Close()
+	}
+	return true
+}
+
+// anyIdle removes an idle connection from the pool, or returns nil if there is none.
+func (p *pool) anyIdle() *Conn {
+	for address, list := range p.idle {
+		if len(list) > 0 {
+			p.idle[address] = list[1:]
+			return list[0]
+		}
+	}
+	return nil
+}
+
+func (p *pool) removeOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
 func (p *pool) popIdle(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
