Front: memory and connections are reserved before callers use them

Cause: a host reserved memory for bodies only. Heads counted once they were parsed, at the length of their text, while 16 KiB of short lines take 740 KB; nothing bounded connections, bytes that were not read, slow readers, or bodies that stop before their end.

Change, one budget for each process from the memory and the descriptors of its host (persimentry/resources.go): bodies and responses have 0.3 of the memory as before, heads and bodies up to 64 KiB 0.1 beside them, connections 0.15 at 20 KiB each, receive buffers 0.05; callers have 0.6 and upstreams 0.3 of the descriptors that are not for files. The connection reserves memory for the lines of a head before net/http parses them. Without room the request or body with the least progress in the last second is ended first, if it is a second old and below 16 KiB/s: a head is closed, a body refused with 503, a response broken off. Without such one the new request gets 503, before it is read. Above the limit of connections the one that is idle longest is closed. A body must bring 1 KiB or its end within the idle timeout, else 408; a response must be taken at 64 KiB in 5 s. Trailers are dropped. What was read of a refused body is released before the rest is discarded, and a connection whose refused body does not end in 5 s is closed, where net/http panicked before ("invalid concurrent Body.Read call").

TestSingleRequestsInsideTheLimits passes at the limits of the smallest host.

--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -113,7 +113,8 @@
 		return nil, nil, trace.Wrap(err)
 	}
 	incarnation := hex.EncodeToString(random)
-	pool, closePool := persimconn.New()
+	resources := newResources(deployment)
+	pool, closePool := persimconn.New(persimconn.WithMaxConns(resources.upstreamConnections))
 	metrics, closeMetrics := persimmetric.New(deployment.Host)
 	observe := persimplatform.WithObserver(metrics.PlatformCall)
 	objects, closeObjects := persimplatform.NewObjects(deployment.StoreAddress, observe)
@@ -139,7 +140,10 @@
 	e.hubState = newHubState(e.startedAt, deployment, incarnation)
 	e.lease.SetAcquireDelay(acquireDelay(deployment.MemoryBytes))
 	e.front = persimfront.New(
-		persimfront.WithBodyMemory(bodyMemory(deployment.MemoryBytes)),
+		persimfront.WithBodyMemory(resources.body),
+		persimfront.WithSpareMemory(resources.spare),
+		persimfront.WithUnreadMemory(resources.unread),
+		persimfront.WithMaxConnections(resources.callerConnections),
 		persimfront.WithBounds(deployment.Bounds),
 		persimfront.WithCentre(deployment.Centre),
 		persimfront.WithPool(pool),
@@ -155,19 +159,6 @@
 	return e, cleanup, nil
 }
 
-// bodyMemoryShare is the share of the host's memory in which bytes are held for callers and
-// upstreams. As much again may be garbage, and the rest is for the program.
-const bodyMemoryShare = 0.3
-
-// bodyMemory returns the number of bytes that may be held for callers and upstreams, given
-// the memory of the host, which is zero if it isn't known.
-func bodyMemory(memoryBytes int64) int64 {
-	if memoryBytes <= 0 {
-		return persimfront.DefaultBodyMemory
-	}
-	return int64(float64(memoryBytes) * bodyMemoryShare)
-}
-
 // usageCounter counts started requests under the lock of the entry.
 type usageCounter struct{ *entry }
 
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -41,6 +40,8 @@
 	requestTarget string
 	forwardHeader http.Header
 	body          []byte
+	// bodyEnded is set once the rest of a body is not to be read.
+	bodyEnded bool
 	// held is the memory that the request takes.
 	held holding
 	// placement describes the request to the placer.
@@ -95,8 +96,14 @@
 	}
 	c.held = holding{memory: f.memory}
 	defer c.held.releaseAll()
-	c.held.add(int64(headerBytes(r)))
-	if refused := c.admit(w); refused != nil {
+	if conn := connOf(r); conn != nil {
+		c.held.take(conn.takeHead())
+	}
+	refused := c.holdHead()
+	if refused == nil {
+		refused = c.admit(w)
+	}
+	if refused != nil {
 		c.refuse(w, *refused)
 		return
 	}
@@ -197,44 +204,6 @@
 	c.deadline = c.arrived.Add(timeout)
 }
 
-// readBody reads the body, for which memory is reserved first. It refuses a body above the
-// limit, and one for which there is no memory.
-func (c *call) readBody(w http.ResponseWriter, limits persimcatalog.Limits) *refusal {
-	size := c.request.ContentLength
-	if size == 0 {
-		return nil
-	}
-	// A body that is larger than the memory can never be read.
-	limit := c.front.memory.limit
-	if limits.BodyBytes > 0 {
-		limit = min(limit, limits.BodyBytes)
-	}
-	if size > limit {
-		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(c.deadline); err != nil {
-		klog.ErrorS(nil, "front: read deadline not set", "request", c.id, "error", persimlog.ErrorText(err))
-	}
-	body, err := c.held.readAll(c.request.Body, size, limit)
-	if errDeadline := control.SetReadDeadline(time.Time{}); errDeadline != nil {
-		klog.ErrorS(nil, "front: read deadline not cleared", "request", c.id, "error", persimlog.ErrorText(errDeadline))
-	}
-	switch {
-	case errors.Is(err, errMemoryFull):
-		return &refusal{
-			status: http.StatusServiceUnavailable, cause: "bodies fill the memory",
-			retryDelay: c.front.memory.wait(time.Now(), max(size, int64(len(body)))),
-		}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, cause: "body not whole"}
-	case int64(len(body)) > limit:
-		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
-	}
-	c.body = body
-	return nil
-}
-
 // prepare determines the cost, the service and the forwarded header of the request
 // and charges the organisation's quota.
 func (c *call) prepare(organisation persimcatalog.Organisation) *refusal {
@@ -312,8 +281,12 @@
 
 // refuse sends a refusal to the caller and records it.
 func (c *call) refuse(w http.ResponseWriter, r refusal) {
+	if c.body == nil {
+		// What was read of a body is not held while the rest is discarded.
+		c.held.settle(min(c.held.bytes, requestCost(c.request)))
+	}
 	control := http.NewResponseController(w)
-	bodyComes := c.body == nil && c.request.ContentLength != 0 && c.request.Header.Get("Expect") == ""
+	bodyComes := c.body == nil && !c.bodyEnded && c.request.ContentLength != 0 && c.request.Header.Get("Expect") == ""
 	if bodyComes {
 		// Without it the server would read from the body before it sends the response.
 		if err := control.EnableFullDuplex(); err != nil {
@@ -340,24 +313,6 @@
 	}
 }
 
-// maxDiscardTime limits the time in which the body of a refused request is read.
-const maxDiscardTime = 5 * time.Second
-
-// discardBody reads the body of a refused request and keeps none of it. A connection that is
-// closed while the caller still sends may be reset, and the response lost.
-func (c *call) discardBody(control *http.ResponseController) {
-	if err := control.SetReadDeadline(time.Now().Add(maxDiscardTime)); err != nil {
-		return
-	}
-	n, err := io.Copy(io.Discard, c.request.Body)
-	if errDeadline := control.SetReadDeadline(time.Time{}); err == nil {
-		err = errDeadline
-	}
-	if err != nil {
-		klog.V(1).InfoS("refusal: body not read to its end", "request", c.id, "bytes", n, "error", persimlog.ErrorText(err))
-	}
-}
-
 // record writes the access log line of the request and records its metrics. The
 // status is 0 if the caller did not get a complete response.
 func (c *call) record(status int, cause string) {
--- a/persimfront/callerconn.go
+++ b/persimfront/callerconn.go
@@ -58,6 +58,16 @@
 	served bool
 	// closedCause is why the host closed the connection, if it did.
 	closedCause string
+	// headReserved is the memory reserved for the head that is arriving.
+	headReserved int64
+	// input is how the head or the body comes forward, output a write that is in progress.
+	input, output progress
+	// readingBody and writing are set while the host reads a body and while it writes.
+	readingBody, writing bool
+	// evicted is set once the phase was ended since the memory or the connections were used up.
+	evicted bool
+	// writeEnd is the time after which writes fail, or zero.
+	writeEnd time.Time
 }
 
 // setState records what the connection is used for from now on. It returns false if the
@@ -74,6 +84,9 @@
 	}
 	c.state = state
 	c.since = time.Now()
+	if state == connIdle {
+		c.writeEnd, c.evicted = time.Time{}, false
+	}
 	c.served = c.served || state == connServing
 	c.startTimerLocked()
 	return true
@@ -142,25 +155,78 @@
 	return true
 }
 
-// Read reads what the caller sends. Once the host has decided to close the connection, no
-// byte is passed on, so that no request is served whose response could not be sent.
+// Read reads what the caller sends. Memory for the lines of a head is reserved before they are
+// passed on. Once the host has decided to close the connection, no byte is passed on, so
+// that no request is served whose response could not be sent.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.receive() {
+	if n == 0 {
+		return n, err
+	}
+	cost, open := c.receive(p[:n])
+	if !open {
 		klog.InfoS("bytes on a closing connection dropped", "caller", c.RemoteAddr().String(), "bytes", n, "cause", c.cause())
 		return 0, io.EOF
 	}
+	if cost == 0 {
+		return n, err
+	}
+	if !c.conns.reserveHead(cost) {
+		c.refuseHead(cost)
+		return 0, io.EOF
+	}
+	if !c.holdHead(cost) {
+		return 0, io.EOF
+	}
 	return n, err
 }
 
-// receive records that bytes have arrived. It returns false if the connection is closed.
-func (c *callerConn) receive() bool {
+// receive records that bytes have arrived. It returns the memory to reserve for them, and
+// false if the connection is closed.
+func (c *callerConn) receive(data []byte) (int64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connIdle {
-		return c.setStateLocked(connReceiving)
+		c.setStateLocked(connReceiving)
+		c.input.restart(c.since)
+	}
+	switch c.state {
+	case connClosed:
+		return 0, false
+	case connReceiving:
+		c.input.add(time.Now(), len(data))
+		return unparsedCost(data), true
+	default:
+		if c.readingBody {
+			c.input.add(time.Now(), len(data))
+		}
+		return 0, true
 	}
-	return c.state != connClosed
+}
+
+// holdHead records memory that is reserved for the head. It returns false, and releases it, if
+// the connection was closed meanwhile.
+func (c *callerConn) holdHead(cost int64) bool {
+	c.mu.Lock()
+	open := c.state != connClosed
+	if open {
+		c.headReserved += cost
+	}
+	c.mu.Unlock()
+	if !open {
+		c.conns.releaseHead(cost)
+	}
+	return open
+}
+
+// takeHead returns the memory that is reserved for the head, which the request holds from now
+// on.
+func (c *callerConn) takeHead() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reserved := c.headReserved
+	c.headReserved = 0
+	return reserved
 }
 
 // cause returns why the host closed the connection, or an empty text if it did not.
@@ -173,6 +239,7 @@
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.setState(connClosed)
+	c.conns.releaseHead(c.takeHead())
 	c.conns.remove(c)
 	return c.Conn.Close()
 }
--- a/persimfront/connections.go
+++ b/persimfront/connections.go
@@ -10,12 +10,24 @@
 	"sync"
 	"sync/atomic"
 
+	"k8s.io/klog/v2"
+
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimlog"
+	"persimmonport.example/persimmetric"
 )
 
 // callerConns holds the open connections of callers.
 type callerConns struct {
 	limits func() persimcatalog.Limits
+	// memory is where heads are reserved, or nil if they are not.
+	memory *memory
+	// maxOpen is the number of open connections above which one is closed, or zero.
+	maxOpen int
+	// unreadBytes is the memory for bytes that have arrived and were not read, or zero.
+	unreadBytes int64
+	// metrics counts refusals and closed connections, or is nil.
+	metrics persimmetric.Metrics
 	// draining is set once each connection is to be closed when it has no request in
 	// progress.
 	draining atomic.Bool
@@ -40,10 +52,46 @@
 	cs.mu.Lock()
 	cs.open[c] = struct{}{}
 	cs.mu.Unlock()
+	cs.limitUnread(conn)
 	c.setState(connIdle)
+	cs.makeRoom(c)
 	return c
 }
 
+const (
+	// minUnreadBytes and maxUnreadBytes bound the receive buffer of a connection, in bytes.
+	// The upper one is half of what Linux starts with, which doubles it.
+	minUnreadBytes = 4 << 10
+	maxUnreadBytes = 64 << 10
+)
+
+// limitUnread limits the bytes of a new connection that may have arrived and were not read,
+// by its share of the memory for them.
+func (cs *callerConns) limitUnread(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok || cs.unreadBytes <= 0 {
+		return
+	}
+	share := cs.unreadBytes / int64(max(1, cs.size()))
+	if err := tcp.SetReadBuffer(int(min(max(share, minUnreadBytes), maxUnreadBytes))); err != nil {
+		klog.V(1).InfoS("connection: receive buffer not limited", "error", persimlog.ErrorText(err))
+	}
+}
+
+// size returns the number of open connections.
+func (cs *callerConns) size() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open)
+}
+
+// count increments a metric.
+func (cs *callerConns) count(name string) {
+	if cs.metrics != nil {
+		cs.metrics.Count(name)
+	}
+}
+
 func (cs *callerConns) remove(c *callerConn) {
 	cs.mu.Lock()
 	delete(cs.open, c)
@@ -127,11 +175,17 @@
 	}
 }
 
+// connOf returns the connection on which a request came, or nil if the front does not watch it.
+func connOf(r *http.Request) *callerConn {
+	c, _ := r.Context().Value(connContextKey{}).(*callerConn)
+	return c
+}
+
 // beginServing records that a request is in progress on its connection. It returns false if
 // the host has decided to close the connection, so that a response could not be sent.
 func beginServing(r *http.Request) bool {
-	c, ok := r.Context().Value(connContextKey{}).(*callerConn)
-	return !ok || c.setState(connServing)
+	c := connOf(r)
+	return c == nil || c.setState(connServing)
 }
 
 type connContextKey struct{}
@@ -166,8 +220,8 @@
 
 // leftCause returns the cause that is logged for a request whose connection has ended.
 func (c *call) leftCause() string {
-	conn, ok := c.request.Context().Value(connContextKey{}).(*callerConn)
-	if ok && conn.cause() != "" {
+	conn := connOf(c.request)
+	if conn != nil && conn.cause() != "" {
 		return "connection closed by this host: " + conn.cause()
 	}
 	return "caller left"
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -114,7 +114,11 @@
 	counter    Counter
 	metrics    persimmetric.Metrics
 	bodyMemory int64
-	onLeaving  func(persimcatalog.Incarnation)
+	// spareMemory, unreadMemory and maxConnections bound what callers make the host hold.
+	spareMemory    int64
+	unreadMemory   int64
+	maxConnections int
+	onLeaving      func(persimcatalog.Incarnation)
 }
 
 // Option configures a Front.
@@ -145,6 +149,22 @@
 // requests with a body are refused.
 func WithBodyMemory(bytes int64) Option { return func(c *config) { c.bodyMemory = bytes } }
 
+// WithSpareMemory sets the number of bytes above those of WithBodyMemory that are held for
+// request heads and small bodies only.
+func WithSpareMemory(bytes int64) Option { return func(c *config) { c.spareMemory = bytes } }
+
+// WithUnreadMemory sets the number of bytes that may have arrived from callers without being
+// read, which the receive buffers of connections share.
+func WithUnreadMemory(bytes int64) Option { return func(c *config) { c.unreadMemory = bytes } }
+
+// WithMaxConnections sets the number of connections of callers above which one is closed.
+func WithMaxConnections(connections int) Option {
+	return func(c *config) { c.maxConnections = connections }
+}
+
+// DefaultSpareMemory is the default for WithSpareMemory, in bytes.
+const DefaultSpareMemory = 16 << 20
+
 // DefaultBodyMemory is the default for WithBodyMemory, in bytes.
 const DefaultBodyMemory = 64 << 20
 
@@ -175,12 +195,15 @@
 // New returns a Front without a configuration; it refuses all requests until
 // SetCatalogue is called.
 func New(opts ...Option) Front {
-	c := config{bodyMemory: DefaultBodyMemory}
+	c := config{bodyMemory: DefaultBodyMemory, spareMemory: DefaultSpareMemory}
 	for _, opt := range opts {
 		opt(&c)
 	}
-	f := &front{config: c, dispatcher: newDispatcher(c.bounds), memory: &memory{limit: c.bodyMemory}}
+	f := &front{config: c, dispatcher: newDispatcher(c.bounds), memory: &memory{limit: c.bodyMemory, spare: c.spareMemory}}
 	f.callerConns = newCallerConns(f.limits)
+	f.callerConns.memory, f.callerConns.metrics = f.memory, c.metrics
+	f.callerConns.maxOpen, f.callerConns.unreadBytes = c.maxConnections, c.unreadMemory
+	f.memory.evict = f.callerConns.evictSlowest
 	f.aborted, f.abort = context.WithCancel(context.Background())
 	f.crashWatch = newCrashWatch(c.pool, f.recordCrash)
 	return f
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -236,6 +236,11 @@
 	c.tried = append(c.tried, choice.Upstream.ID)
 	f := c.front
 	conn, err := f.pool.Get(ctx, choice.Upstream.Address)
+	if errors.Is(err, persimconn.ErrTooManyConns) {
+		c.connectFailures++
+		c.returnUnsent(choice)
+		return nil, "connections to upstreams are used up"
+	}
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		c.returnUnsent(choice)
 		return nil, "canceled while connecting"
