Readiness and metrics servers: input and connections are bounded

Cause: anybody who reaches the ports for readiness checks and metrics could open connections and send heads and bodies without a bound.

--- a/cmd/persimmonport/entry.go
+++ b/cmd/persimmonport/entry.go
@@ -41,6 +41,8 @@
 	// stricter limits is loaded.
 	entryHeaderTimeout  = 10 * time.Second
 	entryMaxHeaderBytes = 64 << 10
+	// operatorMaxHeaderBytes limits heads of readiness checks and of requests for metrics.
+	operatorMaxHeaderBytes = 8 << 10
 )
 
 func entryCommand() *cli.Command {
@@ -148,13 +150,13 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", entry.MetricsHandler())
-	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: entryHeaderTimeout}
-	ready := &http.Server{Handler: entry.ReadyHandler(), ReadHeaderTimeout: entryHeaderTimeout}
+	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: entryHeaderTimeout, MaxHeaderBytes: operatorMaxHeaderBytes}
+	ready := &http.Server{Handler: entry.ReadyHandler(), ReadHeaderTimeout: entryHeaderTimeout, MaxHeaderBytes: operatorMaxHeaderBytes}
 	servers.internal = []*http.Server{ready, metrics}
-	if err := listenAndServe(deployment.ReadyAddress, ready, (*http.Server).Serve); err != nil {
+	if err := listenAndServe(deployment.ReadyAddress, ready, entry.ServeOperators); err != nil {
 		return nil, err
 	}
-	return servers, listenAndServe(net.JoinHostPort(deployment.IP, strconv.Itoa(metricsPort)), metrics, (*http.Server).Serve)
+	return servers, listenAndServe(net.JoinHostPort(deployment.IP, strconv.Itoa(metricsPort)), metrics, entry.ServeOperators)
 }
 
 // listenAndServe listens on an address and lets serve handle its connections.
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -54,6 +54,8 @@
 	Run(ctx context.Context) error
 	// ServeCallers lets a server serve callers on a listener until the listener is closed.
 	ServeCallers(server *http.Server, listener net.Listener) error
+	// ServeOperators lets a server serve readiness checks or metrics on a listener.
+	ServeOperators(server *http.Server, listener net.Listener) error
 	// ReadyHandler returns the handler for the load balancer's readiness probes.
 	ReadyHandler() http.Handler
 	// MetricsHandler returns the handler that serves the metrics.
@@ -144,6 +146,7 @@
 		persimfront.WithSpareMemory(resources.spare),
 		persimfront.WithUnreadMemory(resources.unread),
 		persimfront.WithMaxConnections(resources.callerConnections),
+		persimfront.WithMaxOperatorConnections(resources.operatorConnections),
 		persimfront.WithBounds(deployment.Bounds),
 		persimfront.WithCentre(deployment.Centre),
 		persimfront.WithPool(pool),
@@ -172,6 +175,10 @@
 	return e.front.Serve(server, listener)
 }
 
+func (e *entry) ServeOperators(server *http.Server, listener net.Listener) error {
+	return e.front.ServeOperators(server, listener)
+}
+
 func (e *entry) MetricsHandler() http.Handler { return e.metrics.Handler() }
 
 func (e *entry) Drain(ctx context.Context) error { return e.front.Drain(ctx) }
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -73,6 +73,9 @@
 	// Serve lets a server serve callers on a listener, within the limits of the current
 	// configuration, until the listener is closed.
 	Serve(server *http.Server, listener net.Listener) error
+	// ServeOperators lets a server serve readiness checks or metrics on a listener. Its heads
+	// are reserved from the same memory, and its requests have no body.
+	ServeOperators(server *http.Server, listener net.Listener) error
 	// DisableKeepAlives adds "Connection: close" to the responses of all later requests.
 	DisableKeepAlives()
 	// Drain accepts no more connections of callers and closes each one once it has no request
@@ -118,7 +121,9 @@
 	spareMemory    int64
 	unreadMemory   int64
 	maxConnections int
-	onLeaving      func(persimcatalog.Incarnation)
+	// maxOperatorConnections bounds those to each server for operators.
+	maxOperatorConnections int
+	onLeaving              func(persimcatalog.Incarnation)
 }
 
 // Option configures a Front.
@@ -162,6 +167,12 @@
 	return func(c *config) { c.maxConnections = connections }
 }
 
+// WithMaxOperatorConnections sets the number of connections to a server for readiness checks or
+// metrics above which one is closed.
+func WithMaxOperatorConnections(connections int) Option {
+	return func(c *config) { c.maxOperatorConnections = connections }
+}
+
 // DefaultSpareMemory is the default for WithSpareMemory, in bytes.
 const DefaultSpareMemory = 16 << 20
 
