--- a/persimfront/callerconn.go
+++ b/persimfront/callerconn.go
@@ -128,8 +128,13 @@
 
 // expire closes the connection if it has reached the limit of its state.
 func (c *callerConn) expire() {
-	if c.closeExpired() {
-		_ = c.Conn.Close()
+	if !c.closeExpired() {
+		return
+	}
+	_ = c.Conn.Close()
+	if cause := c.cause(); cause == closedForSlowHeader {
+		c.conns.count("heads_timed_out")
+		klog.InfoS("connection closed", "caller", c.RemoteAddr().String(), "cause", cause)
 	}
 }
 
--- a/persimfront/signals.go
+++ b/persimfront/signals.go
@@ -79,6 +79,8 @@
 		f.metrics.Gauge("upstreams_limited", float64(counts.Limited))
 		f.metrics.Gauge("upstreams_leaving", float64(counts.Leaving))
 		f.metrics.Gauge("upstreams_waiting", float64(counts.Waiting))
+		f.metrics.Gauge("held_bytes", float64(f.memory.heldBytes()))
+		f.metrics.Gauge("caller_connections", float64(f.callerConns.size()))
 	}
 }
 
