Front: no eviction of what the host has not read, unused connections first

Cause: a body or head whose bytes wait to be read looks stalled although the host is slow, and among idle connections an ordinary one could be closed for those of callers that only connect. Change: what has unread bytes is not evicted, and connections that have carried no request are closed before others. Measured: go test -race of the tests in evict_test.go passes (load 30 on 7 cores).

--- a/persimfront/evict.go
+++ b/persimfront/evict.go
@@ -124,6 +124,11 @@
 	if _, _, ok := c.evictableLocked(now); !ok {
 		return false
 	}
+	if !c.writing && persimconn.HasUnread(c.Conn) {
+		// The host is slow to read, not the caller to send.
+		c.input.restart(now)
+		return false
+	}
 	c.evicted = true
 	switch {
 	case c.writing:
@@ -140,7 +145,7 @@
 }
 
 // makeRoom closes a connection if there are more than the limit: what has made the least
-// progress, else the one that has been idle for the longest time, else the new one.
+// progress, which an idle one has not made at all, else the new one.
 func (cs *callerConns) makeRoom(added *callerConn) {
 	if cs.maxOpen <= 0 || cs.size() <= cs.maxOpen {
 		return
@@ -158,15 +163,20 @@
 	_ = added.Close()
 }
 
-// longestIdle returns the connection that has been idle for the longest time, or nil if none
-// has been for minIdleAge.
+// longestIdle returns the connection that has been idle for the longest time, first among those
+// that have carried no request, or nil if none has been idle for minIdleAge.
 func (cs *callerConns) longestIdle() *callerConn {
 	var longest *callerConn
-	since := time.Now().Add(-minIdleAge)
+	var since time.Time
+	var served bool
+	latest := time.Now().Add(-minIdleAge)
 	for _, c := range cs.list() {
 		c.mu.Lock()
-		if c.state == connIdle && c.since.Before(since) {
-			longest, since = c, c.since
+		candidate := c.state == connIdle && c.since.Before(latest)
+		switch {
+		case !candidate:
+		case longest == nil, served && !c.served, served == c.served && c.since.Before(since):
+			longest, since, served = c, c.since, c.served
 		}
 		c.mu.Unlock()
 	}
--- a/persimfront/evict_test.go
+++ b/persimfront/evict_test.go
@@ -140,6 +140,50 @@
 	requireAnswer(t, second, secondReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
 }
 
+// TestUnusedConnectionsAreClosedFirst guards against ordinary connections that are closed for
+// those of callers that only connect.
+func TestUnusedConnectionsAreClosedFirst(t *testing.T) {
+	h, f := budgetHarness(t, 1<<20, 1<<20, 2)
+	require.Eventually(t, func() bool { return f.callerConns.size() == 0 }, time.Second, time.Millisecond)
+	used := h.dial(t)
+	usedReader := bufio.NewReader(used)
+	requireAnswer(t, used, usedReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+	unused := h.dial(t)
+	time.Sleep(2 * minIdleAge)
+	third := h.dial(t)
+	requireAnswer(t, third, bufio.NewReader(third), requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+	require.True(t, closesWithin(t, unused, time.Second))
+	requireAnswer(t, used, usedReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+}
+
+// TestUnreadBodyIsNotEvicted covers a host that comes to read what has arrived only late.
+func TestUnreadBodyIsNotEvicted(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	conns := newCallerConns(func() persimcatalog.Limits { return persimcatalog.Limits{} })
+	conns.memory = &memory{}
+	accepted, err := callerListener{Listener: listener, conns: conns}.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	conn, ok := accepted.(*callerConn)
+	require.True(t, ok)
+	require.True(t, conn.setState(connServing))
+	require.NoError(t, conn.setBodyDeadline(time.Now().Add(time.Minute)))
+	_, err = io.WriteString(caller, "x")
+	require.NoError(t, err)
+	time.Sleep(minEvictAge + 100*time.Millisecond)
+	require.False(t, conns.evictSlowest())
+	_, err = accepted.Read(make([]byte, 1))
+	require.NoError(t, err)
+	time.Sleep(minEvictAge + progressWindow)
+	require.True(t, conns.evictSlowest())
+	require.True(t, conn.endBody())
+}
+
 // TestBodyWithoutProgressTimesOut guards against bodies whose bytes come one by one.
 func TestBodyWithoutProgressTimesOut(t *testing.T) {
 	h, _ := budgetHarness(t, 1<<20, 1<<20, 0)
