--- a/persimsettings/deployment.go
+++ b/persimsettings/deployment.go
@@ -22,6 +22,8 @@
 	// ReportsUsage and OrdersUpstreams enable the duties.
 	ReportsUsage    bool
 	OrdersUpstreams bool
+	// Rollouts enables rollouts of services to new versions.
+	Rollouts bool
 	// MemoryBytes is the memory limit of the host.
 	MemoryBytes int64
 	Bounds      Bounds
@@ -54,4 +56,12 @@
 	QuotaWindow    time.Duration
 	QuotaOvershoot float64
 	QuotaSlack     float64
+	// ExposureShare is the largest share of a service's requests that a bad version may get
+	// during a rollout, in addition to ExposureSlack requests.
+	ExposureShare float64
+	ExposureSlack float64
+	// Rollback is the time after the 50th bad response of a version within which it must get
+	// no more requests. Disturbance is added while the store is disturbed.
+	Rollback    time.Duration
+	Disturbance time.Duration
 }
