Conditional writes of the status of an object; upstreams that a request may use

Cause: the status of an operator's object had no call, and a request could not be kept to the upstreams of one version. Change: Objects.WriteStatus, served and watched in persimstand; persimplace.Request.Allow, which nil leaves out; the number of ejected upstreams is limited among those allowed.

--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -98,6 +98,13 @@
 	Centre string
 	// Exclude lists the ids of upstreams already tried for the request.
 	Exclude []string
+	// Allow reports whether the request may use an upstream; nil allows all.
+	Allow func(persimcatalog.Upstream) bool
+}
+
+// allows reports whether the request may use an upstream that is not leaving.
+func (r Request) allows(s *upstreamState) bool {
+	return !s.Leaving && (r.Allow == nil || r.Allow(s.Upstream))
 }
 
 // SharedParts returns the parts that other requests may share: all but the last.
@@ -261,7 +268,7 @@
 	if ok {
 		return best, true
 	}
-	if wait := p.shortestWait(now); wait > 0 {
+	if wait := p.shortestWait(now, request); wait > 0 {
 		best.Wait = wait
 		return best, false
 	}
@@ -270,10 +277,10 @@
 
 // shortestWait returns the shortest time until an upstream takes requests that takes none
 // now, or zero if none is known.
-func (p *placer) shortestWait(now time.Time) time.Duration {
+func (p *placer) shortestWait(now time.Time, request Request) time.Duration {
 	var shortest time.Duration
 	for _, s := range p.sorted {
-		if s.Leaving {
+		if !request.allows(s) {
 			continue
 		}
 		if wait, open := p.gate.Check(now, s.key); !open && wait > 0 && (shortest == 0 || wait < shortest) {
@@ -291,9 +298,9 @@
 	var bestCost time.Duration
 	found := false
 	passedOver := 0
-	ejectionsLeft := p.maxEjected()
+	ejectionsLeft := p.maxEjected(request)
 	for _, s := range p.sorted {
-		if s.Leaving || slices.Contains(request.Exclude, s.ID) {
+		if !request.allows(s) || slices.Contains(request.Exclude, s.ID) {
 			continue
 		}
 		if !includeEjected && s.ejected(now) && ejectionsLeft > 0 {
@@ -316,9 +323,15 @@
 	return best, found
 }
 
-// maxEjected returns the number of upstreams that may be ejected at a time.
-func (p *placer) maxEjected() int {
-	usable, _ := p.Count()
+// maxEjected returns the number of upstreams that may be ejected at a time, among those that
+// a request may use.
+func (p *placer) maxEjected(request Request) int {
+	usable := 0
+	for _, s := range p.sorted {
+		if request.allows(s) {
+			usable++
+		}
+	}
 	return int(float64(usable) * p.maxEjectedShare)
 }
 
@@ -333,7 +346,7 @@
 	var best *upstreamState
 	var bestWeight uint64
 	for _, s := range p.sorted {
-		if s.Leaving {
+		if !request.allows(s) {
 			continue
 		}
 		if weight := xxhash.Sum64String(key + s.ID); best == nil || weight > bestWeight {
--- a/persimplatform/objects.go
+++ b/persimplatform/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -27,6 +28,10 @@
 	// the stored revision is the same. It returns the stored object, or
 	// ErrConflict, ErrUncertain, ErrThrottled, ErrTooLarge or ErrUnavailable.
 	Write(ctx context.Context, kind string, object platform.Object) (platform.Object, error)
+	// WriteStatus replaces the status of the object if the stored revision is that of the
+	// object given. It returns the stored object, also with ErrConflict where the platform
+	// sends it, or one of the errors of Write.
+	WriteStatus(ctx context.Context, kind string, object platform.Object) (platform.Object, error)
 	// Delete removes the object if its stored revision is the given one.
 	Delete(ctx context.Context, kind, name string, revision int64) error
 	// Watch returns the changes of a kind after a revision as soon as there are any,
@@ -122,6 +127,26 @@
 	return decodeObject(method, data)
 }
 
+func (o objects) WriteStatus(ctx context.Context, kind string, object platform.Object) (platform.Object, error) {
+	body, err := platform.EncodeStatus(object)
+	if err != nil {
+		return platform.Object{}, trace.Wrap(err)
+	}
+	data, err := o.call(ctx, http.MethodPut, platform.StatusPath(kind, object.Name), body)
+	if errors.Is(err, ErrConflict) {
+		// The object is not needed to report the conflict.
+		current, errDecode := platform.DecodeObject(data)
+		if errDecode != nil {
+			return platform.Object{}, err
+		}
+		return current, err
+	}
+	if err != nil {
+		return platform.Object{}, err
+	}
+	return decodeObject(http.MethodPut, data)
+}
+
 func (o objects) Delete(ctx context.Context, kind, name string, revision int64) error {
 	_, err := o.call(ctx, http.MethodDelete, platform.ObjectPath(kind, name)+platform.RevisionQuery(revision), nil)
 	return err
--- a/persimstand/store.go
+++ b/persimstand/store.go
@@ -77,6 +77,22 @@
 	return ok
 }
 
+// Get returns an object, or false if it does not exist.
+func (s *Store) Get(kind, name string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.kinds[kind][name]
+	return object, ok
+}
+
+// ForgetHistory drops the changes that watches could still ask for.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.revision++
+}
+
 // Violations returns the protocol violations of callers.
 func (s *Store) Violations() []string {
 	s.mu.Lock()
@@ -96,12 +112,21 @@
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = map[string]platform.Object{}
 	}
-	object := platform.Object{Name: name, Revision: s.revision, Spec: spec}
+	object := platform.Object{Name: name, Revision: s.revision, Spec: spec, Status: s.kinds[kind][name].Status}
 	s.kinds[kind][name] = object
 	s.recordChange(change{kind: kind, object: object})
 	return object
 }
 
+// putStatus replaces the status of an object.
+func (s *Store) putStatus(kind string, object platform.Object, status []byte) platform.Object {
+	s.revision++
+	object.Revision, object.Status = s.revision, status
+	s.kinds[kind][object.Name] = object
+	s.recordChange(change{kind: kind, object: object})
+	return object
+}
+
 func (s *Store) remove(kind, name string) {
 	s.revision++
 	delete(s.kinds[kind], name)
--- a/persimstand/storeserve.go
+++ b/persimstand/storeserve.go
@@ -60,6 +60,8 @@
 		s.serveGet(w, key)
 	case r.Method == http.MethodDelete:
 		s.serveDelete(w, key, platform.DecodeRevision(r.URL.Query()))
+	case r.Method == http.MethodPut && isStatus(r):
+		s.serveStatus(w, r, body)
 	default:
 		s.servePut(w, key, r.Method == http.MethodPost, body)
 	}
@@ -117,6 +119,29 @@
 	writeResponse(w, http.StatusOK, data, err)
 }
 
+func isStatus(r *http.Request) bool {
+	_, ok := platform.DecodeStatusPath(r.URL.Path)
+	return ok
+}
+
+func (s *Store) serveStatus(w http.ResponseWriter, r *http.Request, body []byte) {
+	key, _ := platform.DecodeStatusPath(r.URL.Path)
+	update, err := platform.DecodeObject(body)
+	current, exists := s.kinds[key.Kind][key.Name]
+	switch {
+	case err != nil || update.Name != key.Name:
+		w.WriteHeader(http.StatusBadRequest)
+	case !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case update.Revision != current.Revision:
+		data, err := platform.EncodeObject(current)
+		writeResponse(w, http.StatusConflict, data, err)
+	default:
+		data, err := platform.EncodeObject(s.putStatus(key.Kind, current, update.Status))
+		writeResponse(w, http.StatusOK, data, err)
+	}
+}
+
 func writeResponse(w http.ResponseWriter, status int, data []byte, err error) {
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
