--- a/persimcatalog/upstream.go
+++ b/persimcatalog/upstream.go
@@ -23,6 +23,8 @@
 	Incarnation
 	Address string
 	Service string
+	// Version is the version of the service that the upstream runs, or empty.
+	Version string
 	Centre  string
 	Slots   int
 	// Leaving is set when the upstream takes no further requests.
