Hosts assign requests to versions and count their results

Cause: a host sent each request to any upstream of its service, whatever its version. Change: chooseUpstream, retries and resumed streams use the assignment of persimrollout; a request that the target fails or has no capacity for goes to the version in use. Results, times and requests in progress are counted at the start and the end of each attempt, the start in one step with a check that the version was not withdrawn. Without WithRollouts no path changes.

--- a/persimcatalog/upstream.go
+++ b/persimcatalog/upstream.go
@@ -32,8 +32,6 @@
 	Leaving bool
 	// Reclaimable is set when the platform may reclaim the upstream.
 	Reclaimable bool
-	// Version is the version of the service that the upstream runs, or empty if it is unknown.
-	Version string
 	// Cold is how long the upstream still needs to reach its normal speed.
 	Cold time.Duration
 }
--- a/persimfront/attempt.go
+++ b/persimfront/attempt.go
@@ -32,6 +32,8 @@
 	ticket   *persimplace.Ticket
 	upstream persimcatalog.Upstream
 	phase    atomic.Int32
+	// observed is nil without rollouts and once the result was recorded.
+	observed *observed
 }
 
 // watchSilence cancels the attempt if the upstream stays silent and the request may
@@ -85,7 +87,9 @@
 	f := a.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.dispatcher.placer(a.service).EndAttempt(time.Now(), a.ticket, outcome)
+	now := time.Now()
+	f.dispatcher.placer(a.service).EndAttempt(now, a.ticket, outcome)
+	a.endObserved(now, outcome)
 }
 
 // recordResponse records the first response byte with the placer and counts the request
@@ -95,6 +99,7 @@
 	f.mu.Lock()
 	f.dispatcher.placer(a.service).RecordResponse(now, a.ticket)
 	f.mu.Unlock()
+	a.observed.recordFirst(now)
 	a.countUsage()
 }
 
@@ -185,6 +190,7 @@
 		return resultUnknown, nil, "answer without signature"
 	}
 	a.recordResponse(time.Now())
+	a.observed.recordStatus(response.StatusCode)
 	return a.relay(ctx, w, exchange)
 }
 
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -61,6 +61,7 @@
 	usageCounted    bool
 	// passedOver counts the better upstreams that took no requests.
 	passedOver int
+	version    versionChoice
 	// crashCheck is the check whether the last upstream crashed as it began to respond.
 	crashCheck *breaks
 }
@@ -256,6 +257,7 @@
 	}
 	c.placement.Centre = c.front.centre
 	c.service = c.route.Service(hashID(c.id))
+	c.version.sample = sampleOf(c.id)
 	c.forwardHeader = platform.ForwardRequestHeaders(c.request.Header)
 	if c.organisation != "" {
 		c.forwardHeader.Set(platform.HeaderOrganisation, c.organisation)
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -9,11 +9,13 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimengine"
+	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/persimpressure"
 	"persimmonport.example/persimquarantine"
 	"persimmonport.example/persimquota"
 	"persimmonport.example/persimretry"
+	"persimmonport.example/persimrollout"
 	"persimmonport.example/persimsettings"
 )
 
@@ -82,6 +84,9 @@
 	observedHosts []string
 	quarantine    persimquarantine.Quarantine
 	pressure      persimpressure.Pressure
+	// rollouts is nil where the deployment has none.
+	rollouts persimrollout.Traffic
+	metrics  persimmetric.Metrics
 	// quarantined are the prompt parts that were quarantined when it was last logged.
 	quarantined map[uint64]bool
 }
@@ -135,6 +140,9 @@
 	}
 	d.pressure.SetUpstreams(now, incarnations(upstreams))
 	d.usable = usable(upstreams)
+	if d.rollouts != nil {
+		d.rollouts.SetUpstreams(now, upstreams)
+	}
 }
 
 // usable returns the incarnations of the upstreams that are not leaving.
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -18,6 +18,7 @@
 	"persimmonport.example/persimplace"
 	"persimmonport.example/persimpressure"
 	"persimmonport.example/persimquarantine"
+	"persimmonport.example/persimrollout"
 	"persimmonport.example/persimsettings"
 )
 
@@ -61,6 +62,14 @@
 	// MergePressure adds what another host, named as the source, knows of the limits of
 	// upstreams.
 	MergePressure(source string, news []persimpressure.News)
+	// MergeRollouts adds what another host, named as the source, or the lease holder tells of
+	// rollouts. It returns what changed.
+	MergeRollouts(source string, news []persimrollout.News) []persimrollout.Change
+	// RolloutNews returns what this host knows of rollouts, for the other hosts.
+	RolloutNews() []persimrollout.News
+	// RolloutReports returns what this host has counted of rollouts that are not final, for
+	// the lease holder.
+	RolloutReports() []persimrollout.Report
 	// SharedState returns this host's state for the other hosts.
 	SharedState() SharedState
 	// Demand returns the rate of arriving work, by service.
@@ -115,6 +124,7 @@
 	metrics    persimmetric.Metrics
 	bodyMemory int64
 	onLeaving  func(persimcatalog.Incarnation)
+	rollouts   persimrollout.Traffic
 }
 
 // Option configures a Front.
@@ -135,6 +145,12 @@
 // WithMetrics sets the metrics to record to.
 func WithMetrics(metrics persimmetric.Metrics) Option { return func(c *config) { c.metrics = metrics } }
 
+// WithRollouts enables rollouts of services to new versions; without it requests use any
+// version.
+func WithRollouts(rollouts persimrollout.Traffic) Option {
+	return func(c *config) { c.rollouts = rollouts }
+}
+
 // WithOnLeaving sets a function that is called when an upstream says that it takes no more
 // requests.
 func WithOnLeaving(onLeaving func(persimcatalog.Incarnation)) Option {
@@ -180,6 +196,7 @@
 		opt(&c)
 	}
 	f := &front{config: c, dispatcher: newDispatcher(c.bounds), memory: &memory{limit: c.bodyMemory}}
+	f.dispatcher.rollouts, f.dispatcher.metrics = c.rollouts, c.metrics
 	f.callerConns = newCallerConns(f.limits)
 	f.aborted, f.abort = context.WithCancel(context.Background())
 	f.crashWatch = newCrashWatch(c.pool, f.recordCrash)
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -203,10 +204,14 @@
 	if !ok || service.Engine == nil || writer.events < 2 || writer.resumed {
 		return
 	}
+	tokens, took := (writer.events-1)*service.Engine.TokensPerEvent, writer.lastAt.Sub(writer.firstAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.dispatcher.placer(a.service).RecordOutput(
-		(writer.events-1)*service.Engine.TokensPerEvent, writer.lastAt.Sub(writer.firstAt))
+	placer := f.dispatcher.placer(a.service)
+	if speed, _ := placer.Speed(); tokens > 0 {
+		a.observed.recordPace(took/time.Duration(tokens), speed.OutputToken)
+	}
+	placer.RecordOutput(tokens, took)
 }
 
 // abortCause returns the cause that is logged for a stream that is aborted.
--- a/persimfront/resume.go
+++ b/persimfront/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -23,12 +22,14 @@
 	if conn == nil {
 		return nil
 	}
-	f := a.front
+	next, started := a.start(choice)
+	if !started {
+		a.withdraw(conn, choice)
+		klog.InfoS("stream not resumed", "request", a.id, "upstream", choice.Upstream.ID, "cause", causeWithdrawn)
+		return nil
+	}
 	a.attempts++
-	f.mu.Lock()
-	a.ticket = f.dispatcher.placer(a.service).StartAttempt(time.Now(), a.placement, choice)
-	f.mu.Unlock()
-	a.upstream = choice.Upstream
+	a.ticket, a.upstream, a.observed = next.ticket, next.upstream, next.observed
 	req := a.upstreamRequest(ctx, choice.Upstream)
 	if stream.lastID != "" {
 		req.Header.Set(platform.HeaderEventID, stream.lastID)
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -106,11 +106,10 @@
 // does now.
 func (c *call) wait() time.Duration {
 	f := c.front
-	request := c.placement
-	request.Exclude = nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	choice, ok := f.dispatcher.placer(c.service).Choose(time.Now(), request)
+	c.placement.Exclude = nil
+	choice, ok := c.chooseAs(time.Now(), c.version.assignment)
 	if ok {
 		return 0
 	}
@@ -152,12 +151,12 @@
 	if refused := c.checkQuarantine(now); refused != nil {
 		return persimplace.Choice{}, refused
 	}
-	choice, ok := f.dispatcher.placer(c.service).Choose(now, c.placement)
+	maxWait := min(c.deadline.Sub(now), c.maxExpectedWait())
+	choice, ok := c.place(now, maxWait)
 	c.countPassedOver(choice)
 	if !ok {
 		return choice, refusalWithoutUpstream(choice)
 	}
-	maxWait := min(c.deadline.Sub(now), c.maxExpectedWait())
 	firstAttempt := c.attempts+c.connectFailures == 0
 	if firstAttempt {
 		f.dispatcher.addDemand(now, c.service, Demand{PrefillTokens: float64(choice.PrefillTokens)})
@@ -209,11 +208,13 @@
 	if f.metrics != nil {
 		f.metrics.UpstreamsAge(f.rosterProof.age(persimclock.Now()))
 	}
+	a, started := c.start(choice)
+	if !started {
+		c.withdraw(conn, choice)
+		return resultNotRun, nil, causeWithdrawn
+	}
+	defer a.endUnobserved()
 	c.attempts++
-	f.mu.Lock()
-	ticket := f.dispatcher.placer(c.service).StartAttempt(time.Now(), c.placement, choice)
-	f.mu.Unlock()
-	a := &attempt{call: c, ticket: ticket, upstream: choice.Upstream}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := a.watchSilence(cancel, choice.Expected)
@@ -254,10 +255,19 @@
 	default:
 		return conn, ""
 	}
+	c.withdraw(conn, choice)
+	return nil, cause
+}
+
+// causeWithdrawn is the cause of an attempt that ends before it is sent since a rollout has
+// withdrawn the upstream's version.
+const causeWithdrawn = "version was withdrawn"
+
+// withdraw gives back a connection to the chosen upstream on which nothing was sent.
+func (c *call) withdraw(conn *persimconn.Conn, choice persimplace.Choice) {
 	conn.Release(0)
 	c.returnUnsent(choice)
 	c.connectFailures++
-	return nil, cause
 }
 
 // takesRequests reports whether the list holds an upstream that is not leaving.
--- a/persimmetric/metric.go
+++ b/persimmetric/metric.go
@@ -21,6 +21,8 @@
 	tagOutcome      = "outcome"
 	tagCause        = "cause"
 	tagCall         = "call"
+	tagService      = "service"
+	tagVersion      = "version"
 )
 
 // Metrics records the measurements of one host.
@@ -39,6 +41,8 @@
 	UpstreamsAge(age time.Duration)
 	// PlatformCall counts a call to the platform, by method and kind.
 	PlatformCall(call string)
+	// Rollout counts an event of a rollout by service and version.
+	Rollout(event, service, version string)
 	// Count increments the counter with the given name.
 	Count(name string)
 	// Gauge sets the gauge with the given name.
@@ -106,6 +110,10 @@
 	m.scope.Tagged(map[string]string{tagCall: call}).Counter("platform_calls").Inc(1)
 }
 
+func (m *metrics) Rollout(event, service, version string) {
+	m.scope.Tagged(map[string]string{tagService: service, tagVersion: version}).Counter("rollout_" + event).Inc(1)
+}
+
 func (m *metrics) Count(name string) { m.scope.Counter(name).Inc(1) }
 
 func (m *metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
