--- a/persimrollout/order.go
+++ b/persimrollout/order.go
@@ -1,6 +1,9 @@
 package persimrollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // MaxDuration is the longest duration of an order.
 const MaxDuration = 24 * time.Hour
@@ -100,10 +103,19 @@
 	Start time.Time
 	// Closed are the versions that take no requests.
 	Closed []string
+	// Removed is set if the operator removed or replaced the order before it was completed.
+	Removed bool
 	// Fence is the fencing token of the lease under which the record was written.
 	Fence int64
 }
 
+// says reports whether a record says the same, whoever wrote it. The start is stored in
+// milliseconds.
+func (r Record) says(other Record) bool {
+	return r.same(other.Order) && r.Duration == other.Duration && r.Phase == other.Phase && r.Removed == other.Removed &&
+		r.Start.UnixMilli() == other.Start.UnixMilli() && slices.Equal(r.Closed, other.Closed)
+}
+
 // Change is a change of a rollout, for the log.
 type Change struct {
 	Order
--- a/persimrollout/traffic.go
+++ b/persimrollout/traffic.go
@@ -73,10 +73,118 @@
 	Cold bool
 }
 
+// maxServices bounds the services whose rollouts are known.
+const maxServices = 1024
+
 type traffic struct {
 	config
-	Traffic
+	services map[string]*service
 }
 
 // NewTraffic returns a Traffic that knows no upstreams and no rollouts.
-func NewTraffic(opts ...Option) Traffic { return &traffic{config: newConfig(opts)} }
+func NewTraffic(opts ...Option) Traffic {
+	return &traffic{config: newConfig(opts), services: map[string]*service{}}
+}
+
+func (t *traffic) SetUpstreams(now time.Time, upstreams map[string][]persimcatalog.Upstream) {
+	for name, list := range upstreams {
+		t.service(name).setUpstreams(now, list, t.config)
+	}
+	for name, s := range t.services {
+		if _, ok := upstreams[name]; ok {
+			continue
+		}
+		s.setUpstreams(now, nil, t.config)
+		if s.forgettable() {
+			delete(t.services, name)
+		}
+	}
+}
+
+// service returns the state of a service and creates it on first use.
+func (t *traffic) service(name string) *service {
+	s, ok := t.services[name]
+	if !ok {
+		s = newService()
+		t.services[name] = s
+	}
+	return s
+}
+
+func (t *traffic) Merge(now time.Time, received []News) []Change {
+	var changes []Change
+	for _, news := range received {
+		s, ok := t.services[news.Service]
+		// A final rollout of a service that is not listed is not kept.
+		if !ok && (news.Phase.Final() || len(t.services) >= maxServices) || !news.valid() {
+			continue
+		}
+		if !ok {
+			s = t.service(news.Service)
+		}
+		if change, ok := s.merge(now, news, t.config); ok {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+func (t *traffic) News(now time.Time) []News {
+	var list []News
+	for _, s := range t.services {
+		if s.news.Phase != PhaseNone {
+			list = append(list, s.export(now))
+		}
+	}
+	return list
+}
+
+func (t *traffic) Assign(now time.Time, service string, requestHash uint64) Assignment {
+	s, ok := t.services[service]
+	if !ok {
+		return Assignment{}
+	}
+	return Assignment{Side: s.assign(now, requestHash)}
+}
+
+func (t *traffic) Allowed(now time.Time, service string, upstream persimcatalog.Upstream, a Assignment) bool {
+	s, ok := t.services[service]
+	return !ok || s.allowed(now, upstream, a.Side)
+}
+
+func (t *traffic) Begin(_ time.Time, service, route string, upstream persimcatalog.Upstream) (end func()) {
+	s := t.service(service)
+	version := upstream.Version
+	s.running[version]++
+	if count, ok := s.count(route, upstream); ok {
+		count.Begun++
+	}
+	return func() {
+		s.running[version]--
+		if s.running[version] == 0 {
+			delete(s.running, version)
+		}
+	}
+}
+
+func (t *traffic) Record(now time.Time, result Result) {
+	s, ok := t.services[result.Service]
+	if !ok || result.Outcome == OutcomeIgnored {
+		return
+	}
+	count, ok := s.count(result.Route, result.Upstream)
+	if !ok {
+		return
+	}
+	count.add(result, s.timed(now, result))
+}
+
+func (t *traffic) Reports(now time.Time) []Report {
+	var reports []Report
+	for _, s := range t.services {
+		if s.active() {
+			reports = append(reports, s.report(now))
+		}
+	}
+	return reports
+}
