The lease holder carries out rollouts; hosts report to it

Cause: nothing read the orders of rollouts, decided on them or wrote their status. The planner counts the upstreams that carry the traffic and reduces nothing while a rollout is not final.

--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -97,6 +97,7 @@
 	reports      storedReports
 	planners     map[string]persimfleet.UpstreamPlanner
 	rawCatalogue rawCatalogue
+	rollouts     rolloutState
 	startedAt    time.Time
 	// listedAt is when the first list of hosts was read.
 	listedAt time.Time
@@ -133,6 +134,7 @@
 		lease:       persimduty.NewLease(deployment.Host, incarnation, deployment.Bounds.Lease),
 		planners:    map[string]persimfleet.UpstreamPlanner{},
 		reports:     storedReports{Windows: map[int64]persimduty.Counts{}},
+		rollouts:    newRolloutState(),
 	}
 	e.rosterState.outages.contact = deployment.Bounds.Contact
 	e.startedAt = time.Now()
@@ -145,6 +147,7 @@
 		persimfront.WithPool(pool),
 		persimfront.WithCounter(usageCounter{e}),
 		persimfront.WithMetrics(metrics),
+		persimfront.WithRollouts(e.newTraffic()),
 		persimfront.WithOnLeaving(e.markLeaving))
 	cleanup := func() {
 		closeDuties()
@@ -225,6 +228,9 @@
 	loops := []func(context.Context){
 		e.pollCatalogue, e.pollRoster, e.expireMissing, e.pollHosts, e.maintainLease, e.reportUsageLoop, e.orderUpstreamsLoop, e.sweepPool, e.exchangeLoop,
 	}
+	if e.deployment.Rollouts {
+		loops = append(loops, e.rolloutLoop, e.watchRollouts)
+	}
 	var wg sync.WaitGroup
 	for _, loop := range loops {
 		wg.Go(func() { loop(ctx) })
--- a/persimentry/entry_test.go
+++ b/persimentry/entry_test.go
@@ -30,6 +30,8 @@
 	runs  atomic.Int64
 	// wrapStore changes how hosts see the store, if set.
 	wrapStore func(http.Handler) http.Handler
+	// rollouts enables rollouts at the hosts.
+	rollouts bool
 }
 
 type testHost struct {
@@ -38,6 +40,7 @@
 	// callers is the address for callers.
 	callers string
 	stop    func()
+	stopped atomic.Bool
 }
 
 const catalogueFormat = `{"version":%d,"routes":[
@@ -50,6 +53,7 @@
 		UpstreamDrain: propagationBound, ConfigApply: propagationBound, KeyRevocation: 5 * time.Second, Lease: 2 * time.Second,
 		UsageWindow: 2 * time.Second, UsageLate: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 		RetrySlack: 50, QuotaWindow: 8 * time.Second, ShutdownGrace: 8 * time.Second,
+		ExposureShare: 0.1, ExposureSlack: 50, Rollback: 5 * time.Second, Disturbance: 6 * time.Second,
 	}
 }
 
@@ -97,7 +101,7 @@
 	address := platformServer.Listener.Addr().String()
 	built, cleanup, err := New(persimsettings.Deployment{
 		Host: name, IP: "127.0.0.1", Centre: centre, PeerAddress: freeUDP(d.t), StoreAddress: address, DutiesAddress: address,
-		ReportsUsage: true, OrdersUpstreams: true, Bounds: testBounds(),
+		ReportsUsage: true, OrdersUpstreams: true, Bounds: testBounds(), Rollouts: d.rollouts,
 	})
 	require.NoError(d.t, err)
 	e, ok := built.(*entry)
@@ -113,9 +117,8 @@
 	server := &http.Server{ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.ServeCallers(server, callers) }()
 	h := &testHost{name: name, entry: e, callers: callers.Addr().String()}
-	var stopped atomic.Bool
 	h.stop = func() {
-		if stopped.Swap(true) {
+		if h.stopped.Swap(true) {
 			return
 		}
 		cancel()
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -31,6 +31,9 @@
 			klog.ErrorS(nil, "exchange: other hosts are not answered", "error", persimlog.ErrorText(err))
 		}
 	})
+	if e.deployment.Rollouts {
+		wg.Go(func() { e.reportRolloutsLoop(ctx, links) })
+	}
 	every(ctx, exchangeInterval, func(ctx context.Context) {
 		e.updateHub()
 		for name, p := range e.selectPeers() {
@@ -141,6 +144,9 @@
 
 // handleExchange applies the state that another host sent and returns the reply.
 func (e *entry) handleExchange(request *persimwire.Exchange) *persimwire.Exchange {
+	if len(request.GetRolloutReports()) > 0 {
+		return e.handleRolloutReports(request)
+	}
 	e.applyExchange(request)
 	return e.exchangeState(request, request.GetHost())
 }
@@ -150,6 +156,7 @@
 // added.
 func (e *entry) exchangeState(request *persimwire.Exchange, receiver string) *persimwire.Exchange {
 	local := e.localState()
+	rollouts := encodeRolloutNews(e.front.RolloutNews())
 	now := e.clock()
 	age, known := e.front.CatalogueAge()
 	e.mu.Lock()
@@ -170,6 +177,7 @@
 		Limits:        encodeLimits(local.Pressure),
 		Catalogue:     &persimwire.Snapshot{Version: e.rawCatalogue.version, AgeMs: unknownAge},
 		Roster:        e.rosterSnapshot(now),
+		Rollouts:      rollouts,
 	}
 	if known {
 		state.Catalogue.AgeMs = encodeProofAge(age)
--- a/persimentry/orders.go
+++ b/persimentry/orders.go
@@ -34,6 +34,7 @@
 
 // orderForService plans the upstreams of one service and places the orders.
 func (e *entry) orderForService(ctx context.Context, service persimcatalog.Service, localDemand map[string]persimfront.Demand) {
+	active := e.rolloutActive(service.Name)
 	e.mu.Lock()
 	planner, ok := e.planners[service.Name]
 	if !ok {
@@ -43,6 +44,8 @@
 	load := e.totalLoad(service.Name, localDemand)
 	upstreams := e.roster.Upstreams()[service.Name]
 	load.Limited = missingCapacity(e.front.Limits(upstreams), localDemand[service.Name])
+	load.KeepAll = active
+	upstreams = e.front.Carrying(upstreams)
 	orders := planner.Plan(time.Now(), *service.Scaling, upstreams, load)
 	e.mu.Unlock()
 	for _, order := range orders {
--- a/persimentry/snapshots.go
+++ b/persimentry/snapshots.go
@@ -224,6 +224,9 @@
 			}
 			continue
 		}
+		if !e.deployment.Rollouts {
+			upstream.Version, upstream.Cold = "", 0
+		}
 		spec, err := platform.EncodeUpstream(upstream)
 		if err != nil {
 			klog.ErrorS(nil, "upstreams: entry not passed on", "id", upstream.ID, "error", persimlog.ErrorText(err))
--- a/persimfleet/upstreams.go
+++ b/persimfleet/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -42,6 +43,8 @@
 	// Limited is the number of upstreams that are missing since others limit the requests
 	// that they take.
 	Limited float64
+	// KeepAll is set while no order may reduce the number of upstreams, as during a rollout.
+	KeepAll bool
 }
 
 // LimitedShare returns the share of an upstream that is missing since it takes only limit
@@ -151,9 +154,21 @@
 	p.detectReclaims(now, upstreams, current)
 	desired := p.desiredReclaimable(scaling, centres, peak, load.Limited)
 	p.addOnDemand(now, scaling, centres, current, desired, peak, load.Limited)
+	if load.KeepAll {
+		p.dropReductions(desired, current)
+	}
 	return p.pendingOrders(now, scaling, desired, current)
 }
 
+// dropReductions removes the pools of which fewer upstreams are desired than exist or were
+// ordered.
+func (p *upstreamPlanner) dropReductions(desired, current map[CapacityPool]int) {
+	maps.DeleteFunc(desired, func(pool CapacityPool, count int) bool {
+		last, ok := p.orders[pool]
+		return count < current[pool] || ok && !last.refused && count < last.count
+	})
+}
+
 // detectReclaims records a reclaim when all reclaimable upstreams of a data centre
 // are leaving although some are ordered.
 func (p *upstreamPlanner) detectReclaims(now time.Time, upstreams []persimcatalog.Upstream, current map[CapacityPool]int) {
--- a/persimfleet/upstreams_test.go
+++ b/persimfleet/upstreams_test.go
@@ -212,3 +212,19 @@
 		}
 	})
 }
+
+// TestNothingIsReleasedDuringARollout guards against orders that release the upstreams which
+// still carry the traffic.
+func TestNothingIsReleasedDuringARollout(t *testing.T) {
+	for keepAll, want := range map[bool]int{false: 6, true: 0} {
+		planner := NewUpstreamPlanner(fleetStart)
+		var upstreams []persimcatalog.Upstream
+		for range 8 {
+			for centre := range testScaling.CentrePrices {
+				upstreams = append(upstreams, persimcatalog.Upstream{Centre: centre, Reclaimable: true}, persimcatalog.Upstream{Centre: centre})
+			}
+		}
+		orders := planner.Plan(fleetStart.Add(2*initialOrderDelay), testScaling, upstreams, Load{Busy: 0.5, KeepAll: keepAll})
+		require.Len(t, orders, want)
+	}
+}
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -62,9 +62,12 @@
 	// MergePressure adds what another host, named as the source, knows of the limits of
 	// upstreams.
 	MergePressure(source string, news []persimpressure.News)
-	// MergeRollouts adds what another host, named as the source, or the lease holder tells of
-	// rollouts. It returns what changed.
-	MergeRollouts(source string, news []persimrollout.News) []persimrollout.Change
+	// MergeRollouts adds what another host or the lease holder tells of rollouts. It returns
+	// what changed.
+	MergeRollouts(news []persimrollout.News) []persimrollout.Change
+	// Carrying returns those upstreams of a service that carry its traffic: during a rollout
+	// those of one version.
+	Carrying(upstreams []persimcatalog.Upstream) []persimcatalog.Upstream
 	// RolloutNews returns what this host knows of rollouts, for the other hosts.
 	RolloutNews() []persimrollout.News
 	// RolloutReports returns what this host has counted of rollouts that are not final, for
--- a/persimfront/rollouts.go
+++ b/persimfront/rollouts.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"k8s.io/klog/v2"
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimplace"
@@ -211,18 +211,26 @@
 	}
 }
 
-func (f *front) MergeRollouts(source string, news []persimrollout.News) []persimrollout.Change {
+func (f *front) MergeRollouts(news []persimrollout.News) []persimrollout.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.dispatcher.rollouts == nil {
 		return nil
 	}
-	changes := f.dispatcher.rollouts.Merge(time.Now(), news)
-	for _, change := range changes {
-		klog.InfoS("rollout", "service", change.Service, "target", change.Target, "revision", change.Revision,
-			"from", change.From, "to", change.To, "cause", change.Cause, "age", change.Age, "fence", change.Fence, "source", source)
+	return f.dispatcher.rollouts.Merge(time.Now(), news)
+}
+
+func (f *front) Carrying(upstreams []persimcatalog.Upstream) []persimcatalog.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rollouts := f.dispatcher.rollouts
+	if rollouts == nil {
+		return upstreams
 	}
-	return changes
+	now := time.Now()
+	return slices.DeleteFunc(slices.Clone(upstreams), func(u persimcatalog.Upstream) bool {
+		return !rollouts.Allowed(now, u.Service, u, persimrollout.Assignment{Side: persimrollout.SideCurrent})
+	})
 }
 
 func (f *front) RolloutNews() []persimrollout.News {
