--- a/persimrollout/advance.go
+++ b/persimrollout/advance.go
@@ -11,10 +11,12 @@
 	// minUpstreams is the number of the target's upstreams, as a share of those that carry the
 	// traffic, from which on it may take the whole traffic.
 	minUpstreams = 0.5
-	// runTimes and spreadTime are the time that shifting takes: requests at the former version
-	// end, and phases and reports travel. Both bounds are shares of the duration.
+	// runTimes, spreadTime and reportTimes are the time that shifting takes: requests at the
+	// former version end, phases travel, and reports do, of which one may be lost. Both bounds
+	// are shares of the duration.
 	runTimes      = 2
 	spreadTime    = 1500 * time.Millisecond
+	reportTimes   = 1.5
 	minShiftShare = 0.25
 	maxShiftShare = 0.5
 	// recordTimeout is the time after which shifting begins although its record could not be
@@ -98,6 +100,10 @@
 		return
 	}
 	if !c.shift {
+		if cause := c.metrics.doubt(); cause != "" {
+			c.revert(now, cause)
+			return
+		}
 		c.shift, c.shiftAskedAt = true, now
 	}
 	written := c.record != nil && c.record.same(c.order) && c.record.Phase == PhaseShifting
@@ -109,7 +115,8 @@
 
 // shiftTime returns when shifting begins.
 func (c *controller) shiftTime(now time.Time, fleet Fleet) time.Time {
-	wanted := runTimes*c.meanRunTime(now, fleet) + spreadTime
+	reports := time.Duration(reportTimes * float64(ReportInterval(len(fleet.Hosts))))
+	wanted := runTimes*c.meanRunTime(now, fleet) + spreadTime + reports
 	return c.deadline().Add(-min(max(wanted, c.share(minShiftShare)), c.share(maxShiftShare)))
 }
 
--- a/persimrollout/metrics.go
+++ b/persimrollout/metrics.go
@@ -82,6 +82,15 @@
 	return ""
 }
 
+// doubt tells why shifting must not begin, or is empty.
+func (m *metrics) doubt() string {
+	whole := m.since(nil)
+	if cause := judge(whole, whole, shiftChance, false); cause != "" {
+		return cause + " before the shift"
+	}
+	return ""
+}
+
 // since returns what was counted since a snapshot.
 func (m *metrics) since(former []Count) []Count {
 	counts := make([]Count, len(m.counts))
--- a/persimrollout/service.go
+++ b/persimrollout/service.go
@@ -15,6 +15,10 @@
 	// minSampledUpstreams is the number of the target's upstreams that are used while
 	// observing where there are so many: fewer don't tell a bad upstream from a bad version.
 	minSampledUpstreams = 3
+	// turnTime is how long some of them take all sampled requests, which gives each the load
+	// at which it has to serve later. It is short, so that a fault of a data centre meets the
+	// upstreams of both versions in proportion.
+	turnTime = time.Second
 	// keepShare is the share of the most common version's upstreams down to which the version
 	// in use is kept where no rollout is known.
 	keepShare = 0.5
@@ -34,10 +38,11 @@
 	inUse string
 	// targets and currents are the numbers of upstreams of the two sides that are not leaving.
 	targets, currents int
-	// share is the probability with which a request is sampled, sampled the upstreams that
-	// take these requests.
+	// share is the probability with which a request is sampled, sampled the ranks of the
+	// upstreams that take these requests, atOnce the number that takes them at a time.
 	share   float64
-	sampled map[persimcatalog.Incarnation]bool
+	sampled map[persimcatalog.Incarnation]int
+	atOnce  int
 	// seenAt is when upstreams of the target were first seen under this order.
 	seenAt map[persimcatalog.Incarnation]time.Time
 }
@@ -132,7 +137,7 @@
 	s.targets = len(targets)
 	s.share = c.sampleShare(s.news)
 	if s.active() {
-		s.sampled = sample(targets, s.share)
+		s.sampled, s.atOnce = sample(targets, s.share)
 		s.see(now, targets)
 	}
 }
@@ -149,18 +154,31 @@
 	s.seenAt = seenAt
 }
 
-// sample returns the upstreams that take a share of the requests, by rendezvous hashing: all
-// hosts with the same list choose the same ones.
-func sample(targets []persimcatalog.Incarnation, share float64) map[persimcatalog.Incarnation]bool {
+// sample returns the ranks of the upstreams that take a share of the requests, by rendezvous
+// hashing: all hosts with the same list choose the same ones. As many as have the load of the
+// other version's upstreams then take the requests in turns.
+func sample(targets []persimcatalog.Incarnation, share float64) (ranks map[persimcatalog.Incarnation]int, atOnce int) {
 	slices.SortFunc(targets, func(a, b persimcatalog.Incarnation) int {
 		return cmp.Or(cmp.Compare(mix(a.Hash(), 0), mix(b.Hash(), 0)), cmp.Compare(a.ID, b.ID))
 	})
-	number := max(int(math.Ceil(share*float64(len(targets)))), min(minSampledUpstreams, len(targets)))
-	sampled := make(map[persimcatalog.Incarnation]bool, number)
-	for _, incarnation := range targets[:number] {
-		sampled[incarnation] = true
+	atOnce = int(math.Ceil(share * float64(len(targets))))
+	ranks = map[persimcatalog.Incarnation]int{}
+	for rank, incarnation := range targets[:max(atOnce, min(minSampledUpstreams, len(targets)))] {
+		ranks[incarnation] = rank
 	}
-	return sampled
+	return ranks, atOnce
+}
+
+// hasTurn reports whether an upstream of the target takes sampled requests now. The time since
+// the order is nearly the same at all hosts.
+func (s *service) hasTurn(now time.Time, incarnation persimcatalog.Incarnation) bool {
+	rank, ok := s.sampled[incarnation]
+	if !ok {
+		return false
+	}
+	number := len(s.sampled)
+	turn := int((s.news.Elapsed + now.Sub(s.announcedAt)) / turnTime % time.Duration(number))
+	return (rank-turn*s.atOnce%number+number)%number < s.atOnce
 }
 
 // side returns the side of a version, or SideAny for a closed one.
@@ -214,7 +232,7 @@
 		if assigned != SideTarget || s.targets == 0 {
 			return s.among(side, SideCurrent)
 		}
-		return side == SideTarget && s.sampled[upstream.Incarnation]
+		return side == SideTarget && s.hasTurn(now, upstream.Incarnation)
 	default:
 		return s.among(side, SideCurrent)
 	}
