--- a/persimentry/rollout_test.go
+++ b/persimentry/rollout_test.go
@@ -43,7 +43,13 @@
 
 func newRolloutTest(t *testing.T, hosts int) *rolloutTest {
 	t.Helper()
-	d := &testDeployment{t: t, store: persimstand.NewStore(), rollouts: true}
+	return newRolloutTestWith(t, hosts, nil)
+}
+
+// newRolloutTestWith changes how hosts see the store, unless that is nil.
+func newRolloutTestWith(t *testing.T, hosts int, wrapStore func(http.Handler) http.Handler) *rolloutTest {
+	t.Helper()
+	d := &testDeployment{t: t, store: persimstand.NewStore(), rollouts: true, wrapStore: wrapStore}
 	r := &rolloutTest{testDeployment: d, served: map[string]*atomic.Int64{"v1": {}, "v2": {}}, stopLoad: make(chan struct{})}
 	d.putCatalogue(1, `"key"`, "")
 	for i := range 4 {
