persimrollout: versions without an order take no requests during another one

Cause: while the state of an order was known, every version but its target and the closed ones counted as current. Upstreams of a later version that were started beside took a part of all requests before they were ordered, without any limit; without a state they took none. Change: the current side is the version that carries the traffic (inUse), chosen without the target and the closed versions.

--- a/persimrollout/service.go
+++ b/persimrollout/service.go
@@ -34,7 +34,7 @@
 	running map[string]int
 
 	listed []persimcatalog.Upstream
-	// inUse is the version that is used where no rollout is known.
+	// inUse is the version that carries the traffic unless a rollout has moved it.
 	inUse string
 	// targets and currents are the numbers of upstreams of the two sides that are not leaving.
 	targets, currents int
@@ -63,8 +63,8 @@
 	s.refresh(now, c)
 }
 
-// chooseInUse determines the version that is used where no rollout is known: the one in use
-// while it has enough upstreams, else that of most, of equals the one that started first.
+// chooseInUse determines the version that carries the traffic unless a rollout has moved it: the
+// one in use while it has enough upstreams, else that of most, of equals the one that started first.
 func (s *service) chooseInUse() {
 	type version struct {
 		name  string
@@ -73,7 +73,7 @@
 	}
 	counts := map[string]version{}
 	for _, u := range s.listed {
-		if u.Leaving {
+		if u.Leaving || s.withheld(u.Version) {
 			continue
 		}
 		v, ok := counts[u.Version]
@@ -101,6 +101,7 @@
 	former := s.news
 	s.news, s.announcedAt = received, now.Add(-age)
 	s.news.Closed = slices.Clone(received.Closed)
+	s.chooseInUse()
 	if !received.same(former.Order) {
 		former.Phase = PhaseNone
 		s.tally = tally{}
@@ -181,15 +182,21 @@
 	return (rank-turn*s.atOnce%number+number)%number < s.atOnce
 }
 
-// side returns the side of a version, or SideAny for a closed one.
+// withheld reports whether a rollout keeps a version from being the one in use.
+func (s *service) withheld(version string) bool {
+	return s.news.Phase != PhaseNone && (version == s.news.Target || slices.Contains(s.news.Closed, version))
+}
+
+// side returns the side of a version, or SideAny for one that takes no requests: a closed one,
+// or one that runs beside the version in use without an order.
 func (s *service) side(version string) Side {
 	switch {
 	case version == s.news.Target:
 		return SideTarget
-	case slices.Contains(s.news.Closed, version):
-		return SideAny
-	default:
+	case version == s.inUse && !s.withheld(version):
 		return SideCurrent
+	default:
+		return SideAny
 	}
 }
 
