Streams at a former version are moved to the target before the deadline

Cause: a rollout was completed only after every long stream at the former version had ended, which may be after its deadline. Change: shortly before the deadline a host breaks off resumable streams at the former version and continues them at the target, if a retry and an upstream are left; the others are awaited. Tests of phases, results by kind of response, failures at the target, and the move.

--- a/persimentry/rollout_test.go
+++ b/persimentry/rollout_test.go
@@ -172,6 +172,17 @@
 	require.Equal(r.t, before, r.served[version].Load(), "requests to %s", version)
 }
 
+// newsTime is the time within which the state of a rollout reaches all hosts.
+const newsTime = time.Second
+
+// waitWithdrawn requires that a version gets no more requests once the state of the rollout has
+// reached all hosts.
+func (r *rolloutTest) waitWithdrawn(version string) {
+	r.t.Helper()
+	time.Sleep(newsTime)
+	r.requireNothingMore(version)
+}
+
 // requireFinal requires that a state stays and is the only final one.
 func (r *rolloutTest) requireFinal(state platform.RolloutState) {
 	r.t.Helper()
@@ -210,7 +221,7 @@
 	r.failing.Store(50)
 	r.order("v2", rolloutDuration)
 	r.waitState(platform.RolloutRolledBack, rolloutDuration)
-	r.requireNothingMore("v2")
+	r.waitWithdrawn("v2")
 	r.requireFinal(platform.RolloutRolledBack)
 	exposed, all := r.served["v2"].Load(), r.served["v2"].Load()+r.served["v1"].Load()
 	require.LessOrEqual(t, float64(exposed), 0.1*float64(all)+50)
--- a/persimentry/rolloutfault_test.go
+++ b/persimentry/rolloutfault_test.go
@@ -119,6 +119,7 @@
 	r.failing.Store(50)
 	r.order("v2", rolloutDuration)
 	r.waitState(platform.RolloutRolledBack, rolloutDuration)
+	r.waitWithdrawn("v2")
 	r.stopHolder()
 	r.failing.Store(0)
 	r.eventually(startTimeout, func() bool { return r.holder() != nil }, "next holder")
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -86,7 +86,9 @@
 	pressure      persimpressure.Pressure
 	// rollouts is nil where the deployment has none.
 	rollouts persimrollout.Traffic
-	metrics  persimmetric.Metrics
+	// streams are the streams in progress that another upstream can continue.
+	streams map[*movableStream]struct{}
+	metrics persimmetric.Metrics
 	// quarantined are the prompt parts that were quarantined when it was last logged.
 	quarantined map[uint64]bool
 }
@@ -101,6 +103,7 @@
 		hostCount:    1,
 		quarantine:   persimquarantine.New(),
 		pressure:     persimpressure.New(),
+		streams:      map[*movableStream]struct{}{},
 	}
 }
 
--- a/persimfront/harness_test.go
+++ b/persimfront/harness_test.go
@@ -20,6 +20,7 @@
 // fakeUpstream is an upstream whose responses the test writes byte by byte.
 type fakeUpstream struct {
 	id       string
+	version  string
 	listener net.Listener
 	// respond writes the response to a request and reports whether the connection
 	// stays open.
@@ -84,6 +85,7 @@
 		Address:     u.listener.Addr().String(),
 		Service:     service,
 		Slots:       8,
+		Version:     u.version,
 	}
 }
 
@@ -141,11 +143,17 @@
 }
 
 func newHarness(t *testing.T, fakes ...*fakeUpstream) *harness {
+	t.Helper()
+	return newHarnessWith(t, nil, fakes...)
+}
+
+// newHarnessWith returns a harness whose front has more options.
+func newHarnessWith(t *testing.T, opts []Option, fakes ...*fakeUpstream) *harness {
 	t.Helper()
 	pool, closePool := persimconn.New()
 	t.Cleanup(closePool)
 	h := &harness{usage: usageCounter{byOrganisation: map[string]int{}}, routes: testRoutes()}
-	h.front = New(WithBounds(testBounds), WithPool(pool), WithCounter(&h.usage))
+	h.front = New(append(opts, WithBounds(testBounds), WithPool(pool), WithCounter(&h.usage))...)
 	h.setLimits(persimcatalog.Limits{BodyBytes: 1 << 20})
 	h.front.ConfirmCatalogue(persimclock.Now())
 	var upstreams []persimcatalog.Upstream
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -164,25 +164,23 @@
 		onSound: a.recordSound,
 		held:    &a.held,
 	}
-	writer.source(exchange)
-	err := writer.copy(exchange)
+	moved, err := a.copyStream(writer, exchange)
 	for err != nil {
 		exchange.Abandon()
-		a.recordBreak(ctx, "stream broke off", true, writer.events, err)
-		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable || a.crashedUpstream(ctx) {
+		a.endStream(ctx, writer, moved, err)
+		if ctx.Err() != nil || writer.callerGone || !a.route.Resumable || !moved && a.crashedUpstream(ctx) {
 			break
 		}
-		resumed := a.resume(ctx, writer)
+		resumed := a.resume(ctx, writer, moved)
 		if resumed == nil {
 			break
 		}
 		exchange = resumed
 		writer.resumed = true
-		writer.source(exchange)
-		err = writer.copy(exchange)
+		moved, err = a.copyStream(writer, exchange)
 	}
 	if err == nil {
-		exchange.Finish()
+		finishStream(exchange, moved)
 		a.recordOutput(writer)
 		a.finish(persimplace.OutcomeSuccess)
 		a.recordSound()
@@ -196,6 +194,34 @@
 	return resultDone, nil, ""
 }
 
+// copyStream copies the events of one upstream. It reports whether the stream was broken off to
+// be continued elsewhere.
+func (a *attempt) copyStream(writer *eventWriter, exchange *persimconn.Exchange) (bool, error) {
+	stream := a.track(exchange)
+	writer.source(exchange)
+	err := writer.copy(exchange)
+	return a.untrack(stream), err
+}
+
+// endStream records that a stream ended early, which is no failure if it was moved.
+func (a *attempt) endStream(ctx context.Context, writer *eventWriter, moved bool, err error) {
+	if moved {
+		a.finish(persimplace.OutcomeNeutral)
+		return
+	}
+	a.recordBreak(ctx, "stream broke off", true, writer.events, err)
+}
+
+// finishStream releases the connection of a stream that is complete. If the stream was moved in
+// the same moment, the connection is closed already.
+func finishStream(exchange *persimconn.Exchange, moved bool) {
+	if moved {
+		exchange.Abandon()
+		return
+	}
+	exchange.Finish()
+}
+
 // recordOutput records how long the upstream took for the events after the first one.
 func (a *attempt) recordOutput(writer *eventWriter) {
 	f := a.front
--- a/persimfront/resume.go
+++ b/persimfront/resume.go
@@ -13,9 +13,10 @@
 )
 
 // resume sends the request to another upstream, which continues the stream after its last
-// event. It returns nil if that is not possible.
-func (a *attempt) resume(ctx context.Context, stream *eventWriter) *persimconn.Exchange {
-	if a.attempts >= a.route.MaxAttempts || !a.mayRetry() {
+// event. It returns nil if that is not possible. The retry of a stream that was moved is counted
+// already.
+func (a *attempt) resume(ctx context.Context, stream *eventWriter, moved bool) *persimconn.Exchange {
+	if a.attempts >= a.route.MaxAttempts || !moved && !a.mayRetry() {
 		return nil
 	}
 	choice, conn := a.chooseAnother(ctx)
--- a/persimfront/rollouts.go
+++ b/persimfront/rollouts.go
@@ -69,14 +69,17 @@
 // chooseAs chooses among the upstreams that an assignment allows. The caller must hold the
 // lock of the front.
 func (c *call) chooseAs(now time.Time, assignment persimrollout.Assignment) (persimplace.Choice, bool) {
-	d := c.front.dispatcher
-	request := c.placement
+	return c.front.dispatcher.chooseFor(now, c.service, c.placement, assignment)
+}
+
+// chooseFor chooses among the upstreams of a service that an assignment allows.
+func (d *dispatcher) chooseFor(now time.Time, service string, request persimplace.Request, assignment persimrollout.Assignment) (persimplace.Choice, bool) {
 	if d.rollouts != nil {
 		request.Allow = func(upstream persimcatalog.Upstream) bool {
-			return d.rollouts.Allowed(now, c.service, upstream, assignment)
+			return d.rollouts.Allowed(now, service, upstream, assignment)
 		}
 	}
-	return d.placer(c.service).Choose(now, request)
+	return d.placer(service).Choose(now, request)
 }
 
 // start begins an attempt at the chosen upstream. It returns false if a rollout has withdrawn
@@ -217,7 +220,10 @@
 	if f.dispatcher.rollouts == nil {
 		return nil
 	}
-	return f.dispatcher.rollouts.Merge(time.Now(), news)
+	now := time.Now()
+	changes := f.dispatcher.rollouts.Merge(now, news)
+	f.dispatcher.moveStreams(now)
+	return changes
 }
 
 func (f *front) Carrying(upstreams []persimcatalog.Upstream) []persimcatalog.Upstream {
