--- a/persimentry/rolloutreport.go
+++ b/persimentry/rolloutreport.go
@@ -34,6 +34,7 @@
 // state of the rollouts in the reply.
 func (e *entry) reportRollouts(ctx context.Context, links persimexchange.Links, holder *dependency) {
 	reports := e.front.RolloutReports()
+	e.recordShares(reports)
 	name, address := e.leaseHolder()
 	if len(reports) == 0 || address == "" {
 		return
@@ -51,6 +52,19 @@
 	e.applyRolloutMessage(reply)
 }
 
+// recordShares sets the share of the requests of this host that its rollouts have sent to the
+// target.
+func (e *entry) recordShares(reports []persimrollout.Report) {
+	for _, report := range reports {
+		begun := map[persimrollout.Side]int64{}
+		for _, count := range report.Counts {
+			begun[count.Side] += count.Begun
+		}
+		target, current := begun[persimrollout.SideTarget], begun[persimrollout.SideCurrent]
+		e.metrics.RolloutShare(report.Service, float64(target)/float64(max(1, target+current)))
+	}
+}
+
 // leaseHolder returns the name and the address of the host that holds the lease as far as it
 // is known, or nothing if that is this host.
 func (e *entry) leaseHolder() (string, string) {
--- a/persimentry/rollouts.go
+++ b/persimentry/rollouts.go
@@ -67,7 +67,7 @@
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if e.followLease() {
+		if _, held := e.followLease(); held {
 			e.decideRollouts(ctx)
 		}
 		select {
@@ -78,22 +78,24 @@
 	}
 }
 
-// followLease reports whether this host holds the lease. Under a new fencing token nothing is
-// taken over from a former one.
-func (e *entry) followLease() bool {
+// followLease returns the fencing token while this host holds the lease. Under a new one nothing
+// is taken over from a former one. What is read is dropped under another token, so that each
+// loop calls it before it reads. A holder whose renewal was late goes on as before: its
+// announcements are numbered under the token, and hosts ignore lower numbers.
+func (e *entry) followLease() (int64, bool) {
 	fence, held := e.heldFence()
 	r := &e.rollouts
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !held {
-		fence = 0
+		return 0, false
 	}
 	if fence != r.fence {
 		r.fence = fence
 		r.services = map[string]*rolloutService{}
 		r.objectsRead, r.recordsRead = false, false
 	}
-	return held
+	return fence, held
 }
 
 // decideRollouts announces and writes what each service needs now.
--- a/persimmetric/metric.go
+++ b/persimmetric/metric.go
@@ -43,6 +43,9 @@
 	PlatformCall(call string)
 	// Rollout counts an event of a rollout by service and version.
 	Rollout(event, service, version string)
+	// RolloutShare sets the share of a service's requests that were sent to the target of its
+	// rollout.
+	RolloutShare(service string, share float64)
 	// Count increments the counter with the given name.
 	Count(name string)
 	// Gauge sets the gauge with the given name.
@@ -114,6 +117,10 @@
 	m.scope.Tagged(map[string]string{tagService: service, tagVersion: version}).Counter("rollout_" + event).Inc(1)
 }
 
+func (m *metrics) RolloutShare(service string, share float64) {
+	m.scope.Tagged(map[string]string{tagService: service}).Gauge("rollout_share").Update(share)
+}
+
 func (m *metrics) Count(name string) { m.scope.Counter(name).Inc(1) }
 
 func (m *metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/persimsoak/checker.go
+++ b/persimsoak/checker.go
@@ -262,6 +262,7 @@
 	c.checkUnsolicited()
 	c.checkSignals()
 	c.checkMemory()
+	c.checkRollout()
 	report := Report{Requests: len(c.outcomes), Poison: c.checkPoison()}
 	for _, violation := range c.system.store.Violations() {
 		c.recordViolation("each duty has one holder at a time", "%s", violation)
--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -44,8 +45,15 @@
 	KindIdleTimeout Kind = "idle-timeout"
 	// KindPoison makes a part of prompts deadly for upstreams.
 	KindPoison Kind = "poison"
+	// KindRollout moves the service to a new version, KindBadRollout to one that fails a part of
+	// its responses. Duration is the time from the order to its deadline.
+	KindRollout    Kind = "rollout"
+	KindBadRollout Kind = "bad-rollout"
 )
 
+// disturbsStore reports whether an event affects calls to the store.
+func (k Kind) disturbsStore() bool { return strings.HasPrefix(string(k), "store-") }
+
 var (
 	hostKinds = []Kind{
 		KindPause, KindKill, KindStop, KindHup,
@@ -157,6 +165,19 @@
 	p.sortEvents()
 }
 
+// AddRollout adds the rollout of a good or a bad version unless there is one.
+func (p *Plan) AddRollout(kind Kind) {
+	if p.rollsOut() {
+		return
+	}
+	p.Events = append(p.Events, Event{Kind: kind, At: firstEventAt, Duration: rolloutDuration})
+	p.sortEvents()
+}
+
+func (p *Plan) rollsOut() bool {
+	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == KindRollout || e.Kind == KindBadRollout })
+}
+
 // addEvents adds a random event other than a change of the idle timeout, or a series of
 // them.
 func (p *Plan) addEvents(random *rand.Rand, at time.Duration) {
--- a/persimsoak/soak_test.go
+++ b/persimsoak/soak_test.go
@@ -21,6 +21,7 @@
 	firstSeed    = flag.Uint64("first", 0, "run the plan of `SEED`; with -fresh N, the N plans from this seed on")
 	hostCount    = flag.Int("hosts", 0, "run `N` hosts in each plan; 0 takes the number from the seed")
 	addPoison    = flag.Bool("poison", false, "add an event that makes a part of prompts deadly to each plan")
+	addRollout   = flag.String("rollout", "", "add the rollout of a `good` or a bad version to each plan")
 	planDuration = flag.Duration("length", defaultLength, "inject events for `TIME`")
 )
 
@@ -96,6 +97,25 @@
 			if *addPoison {
 				plan.AddPoison()
 			}
+			switch *addRollout {
+			case "good":
+				plan.AddRollout(KindRollout)
+			case "bad":
+				plan.AddRollout(KindBadRollout)
+			}
+			runPlan(t, program, plan)
+		})
+	}
+}
+
+// TestRollouts rolls out a good and a bad version without other events.
+func TestRollouts(t *testing.T) {
+	program := buildProgram(t)
+	for _, kind := range []Kind{KindRollout, KindBadRollout} {
+		t.Run(string(kind), func(t *testing.T) {
+			plan := NewPlan(ciSeed, 0, defaultLength)
+			plan.Events = nil
+			plan.AddRollout(kind)
 			runPlan(t, program, plan)
 		})
 	}
--- a/persimsoak/system.go
+++ b/persimsoak/system.go
@@ -42,6 +42,8 @@
 	hosts     []*host
 	upstreams *upstreams
 	checker   *checker
+	// onFinish ends what runs until the checks begin, if it is set.
+	onFinish func()
 }
 
 // Run executes a plan against the given program and writes the logs to logDir. It
@@ -83,6 +85,9 @@
 	s.checker.awaitRecovery()
 	cancel()
 	callers.Wait()
+	if s.onFinish != nil {
+		s.onFinish()
+	}
 	return s.checker.finish(), nil
 }
 
@@ -100,6 +105,7 @@
 		if err != nil {
 			return err
 		}
+		h.rollouts = s.plan.rollsOut()
 		s.hosts = append(s.hosts, h)
 		if err := h.start(); err != nil {
 			return err
@@ -165,6 +171,8 @@
 		s.checker.recordError(s.operator.toggleRoute())
 	case KindIdleTimeout:
 		s.checker.recordError(s.operator.setIdleTimeout(idleTimeouts[event.Target%len(idleTimeouts)]))
+	case KindRollout, KindBadRollout:
+		s.checker.recordError(s.rollOut(event))
 	case KindPoison:
 		defer s.upstreams.poison.begin()()
 		time.Sleep(event.Duration)
--- a/persimsoak/upstream.go
+++ b/persimsoak/upstream.go
@@ -64,6 +64,7 @@
 // executions.
 type upstream struct {
 	id       string
+	version  string
 	stand    *persimstand.Upstream
 	proxy    *proxy
 	cleanups []func()
@@ -71,17 +72,20 @@
 
 // newUpstream starts an upstream. It calls onRun when it has recorded an execution and is
 // about to answer it.
-func newUpstream(id string, executions *executionLog, arrivals *arrivalLog, onRun func(*upstream, *http.Request)) (*upstream, error) {
+func newUpstream(id string, executions *executionLog, arrivals *arrivalLog, rollout *rollout, onRun func(*upstream, *http.Request)) (*upstream, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	started := &upstream{id: id}
-	handler := persimstand.NewUpstream(id, func(request string, r *http.Request) {
+	started := &upstream{id: id, version: rollout.version(id)}
+	record := func(request string, r *http.Request) {
 		executions.record(request, execution{
 			at: time.Now(), upstream: id, path: r.RequestURI,
 			organisation: r.Header.Get(platform.HeaderOrganisation), key: r.Header.Get(platform.HeaderAPIKey),
 		})
+	}
+	handler := persimstand.NewUpstream(id, func(request string, r *http.Request) {
+		record(request, r)
 		onRun(started, r)
 		if strings.HasSuffix(request, slowSuffix) && !strings.HasPrefix(r.URL.Path, persimstand.StreamPath) {
 			time.Sleep(slowRunTime)
@@ -91,7 +95,12 @@
 	recorded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get(platform.HeaderRequestID)
 		arrivals.record(id, request)
-		handler.ServeHTTP(w, r)
+		if rollout.fails(id, request) {
+			record(request, r)
+			respondFailure(w, id, request)
+		} else {
+			handler.ServeHTTP(w, r)
+		}
 		executions.finish(request, id, time.Now())
 	})
 	server := &http.Server{Handler: recorded, ReadHeaderTimeout: headerTimeout}
@@ -115,5 +124,6 @@
 		Centre:      centreName,
 		Slots:       persimstand.UpstreamSlots,
 		Leaving:     leaving,
+		Version:     u.version,
 	}
 }
--- a/persimsoak/upstreams.go
+++ b/persimsoak/upstreams.go
@@ -27,6 +27,7 @@
 	executions *executionLog
 	arrivals   *arrivalLog
 	poison     *poison
+	rollout    *rollout
 	// onError is called with an error of a crash that no event of the plan caused.
 	onError func(error)
 	// poisonCrashes are the crashes in progress that the deadly part caused.
@@ -48,6 +49,7 @@
 	return &upstreams{
 		store: store, executions: &executionLog{byRequest: map[string][]execution{}},
 		arrivals:   &arrivalLog{byUpstream: map[string][]arrival{}},
+		rollout:    newRollout(),
 		poison:     &poison{random: rand.New(rand.NewPCG(seed, poisonStream))},
 		leaveTimes: map[string]time.Time{}, faults: map[string][]interval{}, poisoned: map[string]bool{},
 	}
@@ -57,16 +59,19 @@
 func (u *upstreams) add() error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	started, err := u.startLocked()
+	started, err := u.startLocked(firstVersion)
 	if err == nil {
 		u.active = append(u.active, started)
 	}
 	return err
 }
 
-func (u *upstreams) startLocked() (*upstream, error) {
+// startLocked starts and registers an upstream. The caller must hold mu.
+func (u *upstreams) startLocked(version string) (*upstream, error) {
 	u.startedCount++
-	started, err := newUpstream(fmt.Sprintf("up-%d", u.startedCount), u.executions, u.arrivals, u.crashIfPoisoned)
+	id := fmt.Sprintf("up-%d", u.startedCount)
+	u.rollout.setVersion(id, version)
+	started, err := newUpstream(id, u.executions, u.arrivals, u.rollout, u.crashIfPoisoned)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +86,7 @@
 	if index < 0 {
 		return nil
 	}
-	started, err := u.startLocked()
+	started, err := u.startLocked(u.rollout.version(old.id))
 	if err != nil {
 		return err
 	}
