Hosts that read no lease report to its holder

Cause: a host of a large deployment that is no hub never reads the lease and dropped what others told of its holder; its counters could not reach the lease holder. Change: the holder that messages name is kept beside the lease. Tests through hubs.

--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -98,6 +98,7 @@
 	planners     map[string]persimfleet.UpstreamPlanner
 	rawCatalogue rawCatalogue
 	rollouts     rolloutState
+	toldHolder   toldHolder
 	startedAt    time.Time
 	// listedAt is when the first list of hosts was read.
 	listedAt time.Time
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -34,6 +34,7 @@
 		e.peers[received.GetHost()] = p
 	}
 	e.lease.ObserveHeartbeat(persimclock.Now(), received.GetHolder(), received.GetFence(), received.GetBeat())
+	e.noteHolder(received)
 	e.applyLeaving(received)
 }
 
--- a/persimentry/rollout_test.go
+++ b/persimentry/rollout_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimhub"
 	"persimmonport.example/persimstand"
 	"persimmonport.example/platform"
 )
@@ -28,6 +29,7 @@
 	// one look slow.
 	runTime = 20 * time.Millisecond
 	// requestInterval is the time between the requests to each host.
+	smallDeployment = 7
 	requestInterval = 25 * time.Millisecond
 )
 
@@ -61,7 +63,11 @@
 	for i := range hosts {
 		d.hosts = append(d.hosts, d.start(fmt.Sprintf("host-%d", i), fmt.Sprintf("centre-%d", i%testCentres)))
 	}
-	r.waitConnected()
+	if hosts > persimhub.MeshHosts {
+		r.waitServing()
+	} else {
+		r.waitConnected()
+	}
 	r.eventually(startTimeout, func() bool { return r.holder() != nil }, "holder")
 	for i := range 4 {
 		r.addVersion(fmt.Sprintf("new-%d", i), "v2")
@@ -103,7 +109,8 @@
 // keepLoaded sends requests to a host until the load ends.
 func (r *rolloutTest) keepLoaded(h *testHost) {
 	r.load.Go(func() {
-		ticker := time.NewTicker(requestInterval)
+		// A large deployment gets no more requests in all than one of seven hosts.
+		ticker := time.NewTicker(requestInterval * time.Duration(max(1, len(r.hosts)/smallDeployment)))
 		defer ticker.Stop()
 		for i := 0; ; i++ {
 			select {
@@ -217,6 +224,39 @@
 	return h.entry.roster.Upstreams()["s"]
 }
 
+// TestRolloutsThroughHubs guards against hosts that report to nobody in a deployment where they
+// don't read the lease and hear of its holder through hubs.
+func TestRolloutsThroughHubs(t *testing.T) {
+	for name, test := range map[string]struct {
+		failing int64
+		want    platform.RolloutState
+		former  string
+	}{
+		"good version": {0, platform.RolloutCompleted, "v1"},
+		"bad version":  {50, platform.RolloutRolledBack, "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRolloutTest(t, persimhub.MeshHosts+2)
+			r.failing.Store(test.failing)
+			r.order("v2", rolloutDuration)
+			r.waitState(test.want, rolloutLate)
+			r.eventually(newsLate, func() bool {
+				for _, h := range r.hosts {
+					if !h.phase().Final() {
+						return false
+					}
+				}
+				return true
+			}, "final state at all hosts")
+			r.requireNothingMore(test.former)
+			r.requireFinal(test.want)
+		})
+	}
+}
+
+// newsLate is the time within which the state of a rollout reaches all hosts through hubs.
+const newsLate = 2 * time.Second
+
 // TestBadVersionIsRolledBack guards against a version that fails half of its responses and
 // gets more than its share before it is withdrawn.
 func TestBadVersionIsRolledBack(t *testing.T) {
--- a/persimentry/rolloutlease_test.go
+++ b/persimentry/rolloutlease_test.go
@@ -10,6 +10,7 @@
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimsettings"
 	"persimmonport.example/persimstand"
+	"persimmonport.example/persimwire"
 	"persimmonport.example/platform"
 )
 
@@ -65,3 +66,17 @@
 	require.True(t, e.rollouts.recordsRead)
 	require.Equal(t, "s", e.rollouts.services["s"].object.Name)
 }
+
+// TestHostWithoutTheLeaseReportsToItsHolder guards against hosts of a large deployment whose
+// counters never reach the lease holder, since they read no lease.
+func TestHostWithoutTheLeaseReportsToItsHolder(t *testing.T) {
+	e := newLargeDeployment(t)
+	e.peers["host-7"] = peer{hostRecord: hostRecord{Address: "10.0.0.7:1"}}
+	e.applyExchange(&persimwire.Exchange{Host: "host-21", Holder: "host-7", Fence: 2, Beat: 3})
+	name, address := e.leaseHolder()
+	require.Equal(t, "host-7", name)
+	require.Equal(t, "10.0.0.7:1", address)
+	e.applyExchange(&persimwire.Exchange{Host: "host-41", Holder: "host-8", Fence: 1, Beat: 9})
+	name, _ = e.leaseHolder()
+	require.Equal(t, "host-7", name)
+}
--- a/persimentry/rolloutreport.go
+++ b/persimentry/rolloutreport.go
@@ -70,13 +70,35 @@
 func (e *entry) leaseHolder() (string, string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	holder, _, _ := e.lease.Latest()
+	holder, fence, beat := e.lease.Latest()
+	if told := e.toldHolder; told.newer(fence, beat) {
+		holder = told.name
+	}
 	if holder == e.deployment.Host {
 		return "", ""
 	}
 	return holder, e.peers[holder].Address
 }
 
+// toldHolder is the holder of the lease as other hosts tell it. A host of a large deployment that
+// is no hub never reads the lease, and its own state of the lease stays empty.
+type toldHolder struct {
+	name        string
+	fence, beat int64
+}
+
+func (h toldHolder) newer(fence, beat int64) bool {
+	return h.fence > fence || h.fence == fence && h.beat > beat
+}
+
+// noteHolder records the holder that a message names. It needs the lock of the entry.
+func (e *entry) noteHolder(received *persimwire.Exchange) {
+	told := toldHolder{name: received.GetHolder(), fence: received.GetFence(), beat: received.GetBeat()}
+	if told.name != "" && told.newer(e.toldHolder.fence, e.toldHolder.beat) {
+		e.toldHolder = told
+	}
+}
+
 // rolloutMessage returns a message that tells nothing but who this host is, the lease and the
 // state of the rollouts.
 func (e *entry) rolloutMessage() *persimwire.Exchange {
@@ -121,4 +143,5 @@
 		e.peers[received.GetHost()] = p
 	}
 	e.lease.ObserveHeartbeat(persimclock.Now(), received.GetHolder(), received.GetFence(), received.GetBeat())
+	e.noteHolder(received)
 }
