--- a/persimsoak/checker.go
+++ b/persimsoak/checker.go
@@ -21,6 +21,8 @@
 	AfterIdle int
 	// Poison describes what was checked of requests with the deadly part, if there were any.
 	Poison string
+	// Rollout describes what was checked of a rollout, if there was one.
+	Rollout string
 	// Tolerated lists the violations that do not fail the run.
 	Tolerated []string
 	// Violations lists each violated guarantee with the observation.
@@ -262,8 +264,7 @@
 	c.checkUnsolicited()
 	c.checkSignals()
 	c.checkMemory()
-	c.checkRollout()
-	report := Report{Requests: len(c.outcomes), Poison: c.checkPoison()}
+	report := Report{Requests: len(c.outcomes), Rollout: c.checkRollout(), Poison: c.checkPoison()}
 	for _, violation := range c.system.store.Violations() {
 		c.recordViolation("each duty has one holder at a time", "%s", violation)
 	}
--- a/persimsoak/rollout.go
+++ b/persimsoak/rollout.go
@@ -1,6 +1,7 @@
 package persimsoak
 
 import (
+	"fmt"
 	"hash/fnv"
 	"net/http"
 	"slices"
@@ -194,16 +195,17 @@
 	u.retired = append(u.retired, targets...)
 }
 
-// checkRollout checks the exposure, the loss at completion and the final state of a rollout.
-func (c *checker) checkRollout() {
+// checkRollout checks the exposure, the loss at completion and the final state of a rollout. It
+// returns a description of what was seen, or an empty one without a rollout.
+func (c *checker) checkRollout() string {
 	r := c.system.upstreams.rollout
 	if !c.system.plan.rollsOut() {
-		return
+		return ""
 	}
 	final, ok := r.final()
 	if !ok {
 		c.recordViolation("rollouts end", "no final state, bad: %t", r.bad)
-		return
+		return "no final state"
 	}
 	if last := r.states[len(r.states)-1]; last != final {
 		c.recordViolation("rollouts have one final state", "%s after %s", last.state, final.state)
@@ -216,22 +218,25 @@
 	case !r.bad && undisturbed && (final.state != platform.RolloutCompleted || took > rolloutDuration):
 		c.recordViolation("good versions are completed", "%s after %s", final.state, took)
 	}
+	description := fmt.Sprintf("bad %t, %s after %.1f s", r.bad, final.state, took.Seconds())
 	if r.bad {
-		c.checkExposure(r)
+		exposed, all := c.checkExposure(r)
+		description += fmt.Sprintf(", %d of %d requests at the target", exposed, all)
 	}
 	if final.state == platform.RolloutCompleted {
 		c.checkCompletion(r, final.at)
 	}
+	return description
 }
 
-// checkExposure checks that a bad version gets few requests, and none later.
-func (c *checker) checkExposure(r *rollout) {
+// checkExposure checks that a bad version gets few requests, and none later. It returns their
+// number and that of all requests until the deadline.
+func (c *checker) checkExposure(r *rollout) (exposed, all int) {
 	deadline := r.orderedAt.Add(rolloutDuration)
 	bound := bounds().Rollback
 	if slices.ContainsFunc(c.system.plan.Events, func(e Event) bool { return e.Kind.disturbsStore() }) {
 		bound += bounds().Disturbance
 	}
-	all, exposed := 0, 0
 	for _, o := range c.outcomes {
 		for _, e := range c.system.upstreams.executions.forRequest(o.id) {
 			isTarget := r.versions[e.upstream] == targetVersion
@@ -249,6 +254,7 @@
 	if allowed := bounds().ExposureShare*float64(all) + bounds().ExposureSlack; float64(exposed) > allowed {
 		c.recordViolation("bad versions get few requests", "%d of %d, %.0f allowed", exposed, all, allowed)
 	}
+	return exposed, all
 }
 
 // checkCompletion checks that no request is lost at the former version, whose upstreams stop
--- a/persimsoak/soak_test.go
+++ b/persimsoak/soak_test.go
@@ -55,6 +55,9 @@
 	if report.Poison != "" {
 		t.Log("poison:", report.Poison)
 	}
+	if report.Rollout != "" {
+		t.Log("rollout:", report.Rollout)
+	}
 	for _, tolerated := range report.Tolerated {
 		t.Log("tolerated:", tolerated)
 	}
