--- a/deployment_test.go
+++ b/deployment_test.go
@@ -46,6 +46,8 @@
 func (nullMetrics) RecomputedTokens(string, int)                    {}
 func (nullMetrics) PlatformCall(string)                             {}
 func (nullMetrics) UpstreamsAge(time.Duration)                      {}
+func (nullMetrics) Rollout(string, string, string)                  {}
+func (nullMetrics) RolloutShare(string, float64)                    {}
 func (nullMetrics) Count(string)                                    {}
 func (nullMetrics) Gauge(string, float64)                           {}
 func (nullMetrics) Handler() http.Handler                           { return http.NotFoundHandler() }
