--- a/persimrollout/controller.go
+++ b/persimrollout/controller.go
@@ -18,7 +18,7 @@
 	// Observe adds the counters of a host. Incarnation names one run of the host.
 	Observe(now time.Time, host, incarnation string, report Report)
 	// Decide returns what to announce and to write now. It is called at least twice a second
-	// while the lease is held.
+	// while the lease is held, once the configuration and the list of upstreams were read.
 	Decide(now time.Time, fleet Fleet) Decision
 }
 
--- a/persimrollout/faults_test.go
+++ b/persimrollout/faults_test.go
@@ -134,7 +134,8 @@
 	}
 	final := map[Phase]bool{}
 	for _, change := range s.changes {
-		require.Empty(t, final[PhaseCompleted] && change.To != PhaseCompleted || final[PhaseRolledBack] && change.To != PhaseRolledBack, "%+v", s.changes)
+		require.False(t, final[PhaseCompleted] && change.To != PhaseCompleted, "%+v", s.changes)
+		require.False(t, final[PhaseRolledBack] && change.To != PhaseRolledBack, "%+v", s.changes)
 		final[change.To] = true
 	}
 }
--- a/persimrollout/orders_test.go
+++ b/persimrollout/orders_test.go
@@ -237,6 +237,27 @@
 	require.LessOrEqual(t, sim.statusAt.Sub(sim.orderAt), sim.duration)
 }
 
+// A decided order that begins anew where nothing but its status is left.
+func TestRecordIsLost(t *testing.T) {
+	for name, f := range map[string]fault{"completed": nil, "rolled back": failing(1)} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(1, small)
+			sim.fault = f
+			rollout(sim)
+			state := sim.state()
+			for _, h := range sim.hosts {
+				sim.start(h)
+			}
+			sim.record = nil
+			sim.hold(sim.hosts[2])
+			sim.run(sim.duration)
+			require.Equal(t, state, sim.state())
+			require.NotContains(t, sim.statuses[2:], Status{State: StateActive, Target: testNew})
+			require.Equal(t, state, sim.hosts[0].News(sim.now)[0].Phase.state())
+		})
+	}
+}
+
 // A completion that does not wait for a host that is alive, or for requests in progress.
 func TestCompletionWaits(t *testing.T) {
 	t.Run("requests in progress", func(t *testing.T) {
--- a/persimrollout/reporter.go
+++ b/persimrollout/reporter.go
@@ -60,8 +60,14 @@
 	begun := int64(0)
 	for _, count := range report.Counts[:min(len(report.Counts), maxCounts+2)] {
 		key := count.stratum()
-		m.add(count.since(r.counts[key]))
+		former := r.counts[key]
+		if count.Begun < former.Begun || count.Ended < former.Ended {
+			continue
+		}
+		m.add(count.since(former))
 		r.counts[key] = count
+	}
+	for _, count := range r.counts {
 		begun += count.Begun
 	}
 	if r.firstAt.IsZero() {
--- a/persimrollout/rollout_test.go
+++ b/persimrollout/rollout_test.go
@@ -91,12 +91,24 @@
 	return times
 }
 
+// requireKnown checks that every host that is up knows the last phase, and the planner is free.
+func requireKnown(t *testing.T, s *simulation, phase Phase) {
+	t.Helper()
+	require.False(t, s.active)
+	for _, h := range s.hosts {
+		if !h.down && !h.cut {
+			require.Equal(t, phase, h.News(s.now)[0].Phase, h.name)
+		}
+	}
+}
+
 func requireCompleted(t *testing.T, s *simulation) {
 	t.Helper()
 	require.Equal(t, StateCompleted, s.state(), "%+v", s.changes)
 	require.LessOrEqual(t, s.statusAt.Sub(s.orderAt), s.duration, "completed late")
 	require.Zero(t, s.lost, "requests at ended upstreams")
 	require.Zero(t, s.unserved)
+	requireKnown(t, s, PhaseCompleted)
 }
 
 func requireRolledBack(t *testing.T, s *simulation) {
@@ -107,6 +119,7 @@
 	require.LessOrEqual(t, float64(got), bound, "exposure")
 	require.Zero(t, late, "requests after the rollback bound")
 	require.Zero(t, s.unserved)
+	requireKnown(t, s, PhaseRolledBack)
 }
 
 // cause returns why the last order was reverted.
--- a/persimrollout/settle.go
+++ b/persimrollout/settle.go
@@ -34,6 +34,8 @@
 	c.follow(now, fleet.Known)
 	if c.objectRead && c.recordRead {
 		c.obey(now)
+		// Where the record is lost, the status still tells that the order is decided.
+		c.follow(now, fleet.Known)
 	}
 	c.forgetClosed(fleet)
 }
