--- a/persimcatalog/upstream.go
+++ b/persimcatalog/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,12 +24,16 @@
 	Incarnation
 	Address string
 	Service string
+	// Version is the version of the service that the upstream runs, or empty.
+	Version string
 	Centre  string
 	Slots   int
 	// Leaving is set when the upstream takes no further requests.
 	Leaving bool
 	// Reclaimable is set when the platform may reclaim the upstream.
 	Reclaimable bool
+	// Cold is how long the upstream still needs to reach its normal speed.
+	Cold time.Duration
 }
 
 // WithLeaving returns a copy that takes no further requests.
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -9,11 +9,13 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimengine"
+	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/persimpressure"
 	"persimmonport.example/persimquarantine"
 	"persimmonport.example/persimquota"
 	"persimmonport.example/persimretry"
+	"persimmonport.example/persimrollout"
 	"persimmonport.example/persimsettings"
 )
 
@@ -82,6 +84,11 @@
 	observedHosts []string
 	quarantine    persimquarantine.Quarantine
 	pressure      persimpressure.Pressure
+	// rollouts is nil where the deployment has none.
+	rollouts persimrollout.Traffic
+	// streams are the streams in progress that another upstream can continue.
+	streams map[*movableStream]struct{}
+	metrics persimmetric.Metrics
 	// quarantined are the prompt parts that were quarantined when it was last logged.
 	quarantined map[uint64]bool
 }
@@ -96,6 +103,7 @@
 		hostCount:    1,
 		quarantine:   persimquarantine.New(),
 		pressure:     persimpressure.New(),
+		streams:      map[*movableStream]struct{}{},
 	}
 }
 
@@ -135,6 +143,9 @@
 	}
 	d.pressure.SetUpstreams(now, incarnations(upstreams))
 	d.usable = usable(upstreams)
+	if d.rollouts != nil {
+		d.rollouts.SetUpstreams(now, upstreams)
+	}
 }
 
 // usable returns the incarnations of the upstreams that are not leaving.
