Hosts tell hubs the prefills that they observe

Ruled out: fewer samples for an estimate, which would be less certain; a slower default, since it fits no deployment either. Change: a host that is no hub sends the prefills that it has observed to one hub of its data centre; hubs learn from all of them and tell the speed as before. Measured: 40 hosts with 4 prompts each do not learn the speed, a hub does within 15 % (test).

--- a/persimengine/model.go
+++ b/persimengine/model.go
@@ -16,6 +16,8 @@
 	// maxStep is the largest factor by which one estimate changes a speed that was learned
 	// here or by another host.
 	maxStep = 1.04
+	// maxUntold is the number of prefills that a host keeps for others.
+	maxUntold = 16
 	// estimateInterval is the number of responses after which the estimate is renewed.
 	estimateInterval = 4
 	// minTokenDistance is the smallest difference in length between two prompts whose
@@ -41,6 +43,10 @@
 	// ObservePrefill records the time to the first byte of a response before which the
 	// engine prefilled a number of tokens, as far as is known.
 	ObservePrefill(tokens int, took time.Duration)
+	// ObserveRemote records what another host has observed of prefills.
+	ObserveRemote(prefills []Prefill)
+	// TakePrefills returns the latest prefills that were observed here and not returned yet.
+	TakePrefills() []Prefill
 	// ObserveOutput records the time in which an engine generated a number of tokens of
 	// one response.
 	ObserveOutput(tokens int, took time.Duration)
@@ -52,17 +58,20 @@
 	Learned() bool
 }
 
-// prefill is one observed time to the first byte.
-type prefill struct {
-	tokens int
-	took   time.Duration
+// Prefill is one observed time to the first byte.
+type Prefill struct {
+	// Tokens is the number of prompt tokens that the engine prefilled in that time.
+	Tokens int
+	Took   time.Duration
 }
 
 type model struct {
 	assumed Speed
 	// told is set if the assumed speed was learned by another host.
 	told     bool
-	prefills ring[prefill]
+	prefills ring[Prefill]
+	// untold are the latest prefills observed here that were not taken, up to maxUntold.
+	untold []Prefill
 	// tokenTimes and runs hold the time for each output token and for whole responses.
 	tokenTimes ring[time.Duration]
 	runs       ring[time.Duration]
@@ -94,7 +103,30 @@
 }
 
 func (m *model) ObservePrefill(tokens int, took time.Duration) {
-	m.prefills.add(prefill{tokens: tokens, took: took})
+	observed := Prefill{Tokens: tokens, Took: took}
+	if len(m.untold) == maxUntold {
+		m.untold = m.untold[1:]
+	}
+	m.untold = append(m.untold, observed)
+	m.observe(observed)
+}
+
+func (m *model) TakePrefills() []Prefill {
+	taken := m.untold
+	m.untold = nil
+	return taken
+}
+
+func (m *model) ObserveRemote(prefills []Prefill) {
+	for _, observed := range prefills {
+		if observed.Tokens > 0 && observed.Took > 0 {
+			m.observe(observed)
+		}
+	}
+}
+
+func (m *model) observe(observed Prefill) {
+	m.prefills.add(observed)
 	if m.prefills.total >= minSamples && m.prefills.total%estimateInterval == 0 {
 		m.estimatePrefill()
 	}
@@ -123,8 +155,8 @@
 	var slopes []time.Duration
 	for i, a := range m.prefills.kept {
 		for _, b := range m.prefills.kept[:i] {
-			if distance := a.tokens - b.tokens; distance >= minTokenDistance || distance <= -minTokenDistance {
-				slopes = append(slopes, (a.took-b.took)/time.Duration(distance))
+			if distance := a.Tokens - b.Tokens; distance >= minTokenDistance || distance <= -minTokenDistance {
+				slopes = append(slopes, (a.Took-b.Took)/time.Duration(distance))
 			}
 		}
 	}
@@ -135,8 +167,8 @@
 	rest := make([]time.Duration, 0, len(m.prefills.kept))
 	tokens := make([]time.Duration, 0, len(m.prefills.kept))
 	for _, p := range m.prefills.kept {
-		rest = append(rest, p.took-time.Duration(p.tokens)*perToken)
-		tokens = append(tokens, time.Duration(p.tokens))
+		rest = append(rest, p.Took-time.Duration(p.Tokens)*perToken)
+		tokens = append(tokens, time.Duration(p.Tokens))
 	}
 	relativeError := spread(rest) / (spread(tokens) * float64(perToken) * math.Sqrt(float64(len(rest))))
 	if !(relativeError <= maxRelativeError) {
--- a/persimengine/model_test.go
+++ b/persimengine/model_test.go
@@ -145,3 +145,31 @@
 	require.InDelta(t, 10, speed.Busy(200_000, 64_000, 32), 1e-9, "slots bind")
 	require.InDelta(t, 5, speed.Busy(0, 1000, 0), 1e-9, "unknown slots count as one")
 }
+
+// TestHubLearnsFromManyHosts guards against a large deployment that assumes a wrong speed for
+// long since each host measures too few prompts.
+func TestHubLearnsFromManyHosts(t *testing.T) {
+	const hosts, promptsPerHost, tokensPerMS = 40, 4, 40
+	e := newEngine(tokensPerMS)
+	hub := New()
+	for range hosts {
+		host := New()
+		e.feed(host, promptsPerHost)
+		require.False(t, host.Learned())
+		hub.ObserveRemote(host.TakePrefills())
+		require.Empty(t, host.TakePrefills())
+	}
+	requireRate(t, tokensPerMS, 0.15, hub)
+	require.True(t, hub.Learned())
+	require.Empty(t, hub.TakePrefills(), "what others observed is not passed on")
+	t.Run("malformed ones are left out", func(t *testing.T) {
+		m := New()
+		m.ObserveRemote(make([]Prefill, 10*minSamples))
+		require.False(t, m.Learned())
+	})
+	t.Run("what is kept for others is bounded", func(t *testing.T) {
+		m := New()
+		e.feed(m, 10*maxUntold)
+		require.Len(t, m.TakePrefills(), maxUntold)
+	})
+}
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -180,6 +180,7 @@
 	if request != nil {
 		e.addSnapshotItems(state, request)
 	}
+	e.addPrefills(state)
 	e.addState(state, request, receiver, local)
 	return state
 }
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -22,6 +22,7 @@
 	e.front.RecordReports(decodeReports(received.GetReports()))
 	e.front.MergeCrashes(decodeEvidence(received.GetCrashEvidence()))
 	e.front.MergePressure(received.GetHost(), decodeLimits(received.GetLimits()))
+	e.front.RecordPrefills(decodePrefills(received.GetPrefills()))
 	demand := decodeDemand(received.GetDemand())
 	e.front.AssumeSpeeds(demand)
 	e.mu.Lock()
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -330,6 +330,24 @@
 	}
 }
 
+func (d *dispatcher) takePrefills() map[string][]persimengine.Prefill {
+	taken := map[string][]persimengine.Prefill{}
+	for name, placer := range d.placers {
+		if prefills := placer.TakePrefills(); len(prefills) > 0 {
+			taken[name] = prefills
+		}
+	}
+	return taken
+}
+
+func (d *dispatcher) recordPrefills(prefills map[string][]persimengine.Prefill) {
+	for name, list := range prefills {
+		if placer, ok := d.placers[name]; ok {
+			placer.RecordPrefills(list)
+		}
+	}
+}
+
 // biasCorrection returns the factor that corrects the average, which is too low
 // while requests have arrived for less than demandWindow.
 func (d *dispatcher) biasCorrection(now time.Time) float64 {
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -14,6 +14,7 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
 	"persimmonport.example/persimconn"
+	"persimmonport.example/persimengine"
 	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/persimpressure"
@@ -70,6 +71,11 @@
 	// AssumeSpeeds takes over the speeds of engines that another host has learned, by
 	// service, where this host has not learned them.
 	AssumeSpeeds(demand map[string]Demand)
+	// TakePrefills returns the latest prefills of engines that this host has observed and that
+	// were not returned yet, by service.
+	TakePrefills() map[string][]persimengine.Prefill
+	// RecordPrefills records the prefills that another host has observed, by service.
+	RecordPrefills(prefills map[string][]persimengine.Prefill)
 	// Serve lets a server serve callers on a listener, within the limits of the current
 	// configuration, until the listener is closed.
 	Serve(server *http.Server, listener net.Listener) error
@@ -326,6 +332,18 @@
 	f.dispatcher.assumeSpeeds(demand)
 }
 
+func (f *front) TakePrefills() map[string][]persimengine.Prefill {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dispatcher.takePrefills()
+}
+
+func (f *front) RecordPrefills(prefills map[string][]persimengine.Prefill) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.recordPrefills(prefills)
+}
+
 func (f *front) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
 func (f *front) AbortRequests() { f.abort() }
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -176,6 +176,10 @@
 	AssumeSpeed(speed persimengine.Speed)
 	// Speed returns the speed of the engines and whether it was learned here.
 	Speed() (persimengine.Speed, bool)
+	// TakePrefills returns the latest prefills observed here that were not returned yet.
+	TakePrefills() []persimengine.Prefill
+	// RecordPrefills records the prefills that another host has observed.
+	RecordPrefills(prefills []persimengine.Prefill)
 	// Busy returns the number of upstreams that a load keeps busy, given the prompt tokens
 	// to prefill and the tokens to generate in a second.
 	Busy(promptTokens, outputTokens float64) float64
@@ -392,6 +396,10 @@
 
 func (p *placer) Speed() (persimengine.Speed, bool) { return p.model.Speed(), p.model.Learned() }
 
+func (p *placer) TakePrefills() []persimengine.Prefill { return p.model.TakePrefills() }
+
+func (p *placer) RecordPrefills(prefills []persimengine.Prefill) { p.model.ObserveRemote(prefills) }
+
 func (p *placer) Busy(promptTokens, outputTokens float64) float64 {
 	slots := 1
 	for _, s := range p.sorted {
--- a/persimplace/speed_test.go
+++ b/persimplace/speed_test.go
@@ -21,6 +21,10 @@
 func (m fixedModel) Speed() persimengine.Speed         { return m.speed }
 func (m fixedModel) Assume(persimengine.Speed)         {}
 func (m fixedModel) Learned() bool                     { return true }
+func (m fixedModel) TakePrefills() []persimengine.Prefill {
+	return nil
+}
+func (m fixedModel) ObserveRemote([]persimengine.Prefill) {}
 
 const (
 	// simulatedTarget is the target latency; requests that are expected to take longer
