--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -23,6 +23,7 @@
 	e.front.MergeCrashes(decodeEvidence(received.GetCrashEvidence()))
 	e.front.MergePressure(received.GetHost(), decodeLimits(received.GetLimits()))
 	e.mergeRollouts(received.GetHost(), decodeRolloutNews(received.GetRollouts()))
+	e.front.RecordPrefills(decodePrefills(received.GetPrefills()))
 	demand := decodeDemand(received.GetDemand())
 	e.front.AssumeSpeeds(demand)
 	e.mu.Lock()
