--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(GO) run $(LINTER) fmt $(MODULES)
 
 # Every test with the race detector; the policies' measures, the largest simulation of
-# persimquarantine and the tests in bubbles without it as well. Tests in bubbles of
+# persimquarantine, those of persimrollout and the tests in bubbles without it as well. Tests in bubbles of
 # testing/synctest run on one thread under the detector, which ends the process if two
 # threads run timers of a bubble.
 test: lint
@@ -33,6 +33,7 @@
 	$(GO) test -skip '$(KNOWN_RED)' $$($(PACKAGES) | awk '/ testing\/synctest( |$$)/ {print $$1}')
 	$(GO) test ./persimbench/...
 	$(GO) test -skip '$(KNOWN_RED)' ./persimquarantine/...
+	$(GO) test -skip '$(KNOWN_RED)' ./persimrollout/...
 	@cat KNOWN-RED.txt
 
 # The policies' measures, and the cost of an entry host in a real deployment.
--- /dev/null
+++ b/persimrollout/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package persimrollout
+
+func init() { raceDetector = true }
