Placer: capacity of a service, and choices that are spread

Cause: admission by priority needs to know what the upstreams of a service can do; and where prompts last longer than news of loads is recent, all hosts choose the same few upstreams. Change: Capacity counts upstreams that take requests and are not ejected after failures, by their slowdown. Request.Spread leaves a difference in expected time to chance, less so where the upstream has the prompt cached. It is zero unless a caller sets it. Measured: go test ./persimplace passes; the decisions of TestUnrankedServicesAreServedAsBefore do not change.

--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -96,6 +96,9 @@
 	// Urgent marks requests that the engine admits before others.
 	Urgent bool
 	Centre string
+	// Spread is the difference in expected time that is left to chance. It is useful where the
+	// loads of other hosts change faster than they are told.
+	Spread time.Duration
 	// Exclude lists the ids of upstreams already tried for the request.
 	Exclude []string
 }
@@ -194,6 +197,9 @@
 	// OwnLoads returns the load that this host has placed on the upstreams, by hash of
 	// the id.
 	OwnLoads() map[uint64]PeerLoad
+	// Capacity returns the number of upstreams that take requests and are not ejected after
+	// failures, each divided by the slowdown that it reports.
+	Capacity(now time.Time) float64
 	// Count returns the number of upstreams that take requests and the number of all.
 	Count() (usable, all int)
 }
@@ -301,7 +307,7 @@
 			continue
 		}
 		choice := p.estimate(now, s, request, preferred)
-		cost := choice.Expected + time.Duration(p.random.Int64N(int64(jitter)))
+		cost := choice.Expected + time.Duration(p.random.Int64N(int64(request.spread(choice))))
 		if found && cost >= bestCost {
 			continue
 		}
