Hubs: work by organisation and priority

Cause: a host needs the work of all others by organisation and priority. A sum lists the 64 largest of a service and sums up the rest by rank.

--- a/persimhub/hub.go
+++ b/persimhub/hub.go
@@ -57,9 +57,10 @@
 	// counted grows by what the hosts of this centre admit, total by what all do.
 	counted Totals
 	total   Totals
-	// loads and busy are the sums over this centre, allLoads that over all centres.
+	// loads, busy and ranked are the sums over this centre, allLoads that over all centres.
 	loads    Loads
 	busy     map[string]float64
+	ranked   Ranked
 	allLoads Loads
 	usage    persimduty.Usage
 }
@@ -102,6 +103,7 @@
 		total:       Totals{},
 		loads:       Loads{},
 		busy:        map[string]float64{},
+		ranked:      Ranked{},
 		allLoads:    Loads{},
 		usage:       persimduty.NewUsage(h.usageWindow),
 	}
@@ -124,6 +126,7 @@
 	h.loads.add(report.Loads, 1)
 	h.allLoads.add(report.Loads, 1)
 	addBusy(h.busy, report.Busy, 1)
+	h.ranked.add(report.Ranked, 1)
 	h.usage.ObserveRemote(name+" "+report.Incarnation, report.Windows)
 }
 
@@ -160,6 +163,7 @@
 	h.loads.add(m.Loads, -1)
 	h.allLoads.add(m.Loads, -1)
 	addBusy(h.busy, m.Busy, -1)
+	h.ranked.add(m.Ranked, -1)
 }
 
 func (h *hub) ObserveCentre(now time.Time, name string, sum Sum) {
@@ -233,6 +237,7 @@
 		Admitted: h.counted.clone(),
 		Loads:    h.loads.clone(),
 		Busy:     addBusy(map[string]float64{}, h.busy, 1),
+		Ranked:   h.ranked.bounded(),
 		Windows:  h.recentWindows(now),
 	}
 }
@@ -262,12 +267,15 @@
 		Admitted: h.total.clone(),
 		Loads:    h.allLoads.clone(),
 		Busy:     addBusy(map[string]float64{}, h.busy, 1),
+		Ranked:   Ranked{},
 	}
+	sum.Ranked.add(h.ranked, 1)
 	if m, ok := h.hosts[except]; ok {
 		sum.Admitted.subtract(m.counted)
 		if m.present {
 			sum.Loads.add(m.Loads, -1)
 			addBusy(sum.Busy, m.Busy, -1)
+			sum.Ranked.add(m.Ranked, -1)
 		}
 	}
 	for _, c := range h.centres {
@@ -275,8 +283,10 @@
 			hosts += c.Hosts
 			ages += time.Duration(c.Hosts) * (c.Age + now.Sub(c.heardAt))
 			addBusy(sum.Busy, c.Busy, 1)
+			sum.Ranked.add(c.Ranked, 1)
 		}
 	}
+	sum.Ranked = sum.Ranked.bounded()
 	sum.Hosts = hosts
 	sum.Age = meanAge(ages, hosts)
 	if windows {
--- a/persimhub/sum.go
+++ b/persimhub/sum.go
@@ -1,8 +1,10 @@
 package persimhub
 
 import (
+	"maps"
 	"time"
 
+	"persimmonport.example/persimadmit"
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimplace"
 )
@@ -23,6 +25,8 @@
 	Loads    Loads
 	// Busy is the number of upstreams that arriving work keeps busy, by service.
 	Busy map[string]float64
+	// Ranked is the part of Busy of each organisation and priority.
+	Ranked Ranked
 	// Windows are the requests counted in each usage window.
 	Windows map[int64]persimduty.Counts
 }
@@ -41,6 +45,7 @@
 	Admitted Totals
 	Loads    Loads
 	Busy     map[string]float64
+	Ranked   Ranked
 	Windows  map[int64]persimduty.Counts
 }
 
@@ -104,3 +109,31 @@
 	}
 	return sum
 }
+
+// maxRankedLoads is the number of organisations and priorities of a service that a sum lists.
+const maxRankedLoads = 64
+
+// Ranked is the work of each organisation and priority, by service.
+type Ranked map[string]persimadmit.Loads
+
+// add adds loads a number of times, which may be -1.
+func (r Ranked) add(other Ranked, times float64) {
+	for service, loads := range other {
+		if r[service] == nil {
+			r[service] = persimadmit.Loads{}
+		}
+		r[service].Add(loads, times)
+		if len(r[service]) == 0 {
+			delete(r, service)
+		}
+	}
+}
+
+// bounded returns a copy in which the smallest loads are summed up.
+func (r Ranked) bounded() Ranked {
+	bounded := make(Ranked, len(r))
+	for service, loads := range r {
+		bounded[service] = maps.Clone(loads.Bounded(maxRankedLoads))
+	}
+	return bounded
+}
