Requests of ranked services go by priority

Cause: prompts of up to 4000 tokens went first whatever their priority, and the last capacity went to whoever came first. Change: in a ranked service the priority header and the placer's order follow the rank, and a request is admitted by the share of its organisation and rank. Refusals say when to come back; callers that repeat before that are refused at once.

--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -22,10 +22,8 @@
 	// routes and keys. With an older one it answers 503, since they may be new.
 	maxDenialAge = 1500 * time.Millisecond
 	// maxUrgentTokens is the prompt size, in tokens, up to which an upstream is asked
-	// to run a request before others.
+	// to run a request before others, in services that are not ranked.
 	maxUrgentTokens = 4000
-	priorityUrgent  = "3"
-	priorityNormal  = "5"
 	outcomeOK       = "ok"
 )
 
@@ -47,6 +45,10 @@
 	placement persimplace.Request
 	// cost is the cost in units of the organisation's quota.
 	cost float64
+	// rank is the priority of the request, outputTokens the number of tokens that it may
+	// generate.
+	rank         int
+	outputTokens float64
 	// deadline is the time by which the caller must have the final response.
 	deadline time.Time
 	// tried lists the ids of the upstreams chosen so far, which the placer avoids.
@@ -250,30 +252,24 @@
 	if hasPrompt {
 		c.placement = newPlacementRequest(prompt)
 		demand.OutputTokens = float64(prompt.MaxOutputTokens)
+		c.outputTokens = demand.OutputTokens
 		if organisation.Quota.InTokens {
 			c.cost = float64(prompt.Tokens + prompt.MaxOutputTokens)
 		}
 	}
 	c.placement.Centre = c.front.centre
 	c.service = c.route.Service(hashID(c.id))
+	c.rank = c.route.Rank(organisation)
 	c.forwardHeader = platform.ForwardRequestHeaders(c.request.Header)
 	if c.organisation != "" {
 		c.forwardHeader.Set(platform.HeaderOrganisation, c.organisation)
 	}
 	if hasPrompt {
-		c.forwardHeader.Set(platform.HeaderPriority, priority(c.placement))
+		c.forwardHeader.Set(platform.HeaderPriority, c.setOrder())
 	}
 	return c.front.chargeQuota(c, demand)
 }
 
-// priority returns the HeaderPriority value of a request.
-func priority(placement persimplace.Request) string {
-	if placement.Urgent {
-		return priorityUrgent
-	}
-	return priorityNormal
-}
-
 // newPlacementRequest describes a prompt to the placer.
 func newPlacementRequest(prompt platform.Prompt) persimplace.Request {
 	placement := persimplace.Request{Tokens: max(1, prompt.Tokens), Urgent: prompt.Tokens <= maxUrgentTokens}
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonport.example/persimadmit"
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimengine"
 	"persimmonport.example/persimplace"
@@ -52,6 +53,9 @@
 	Busy float64
 	// Speed is the speed of the service's engines, or zero where it was not learned here.
 	Speed persimengine.Speed
+	// Ranked is the part of Busy of each organisation and priority, for services whose
+	// configuration allows them to be ranked.
+	Ranked persimadmit.Loads
 }
 
 func (d Demand) scaled(factor float64) Demand {
@@ -82,6 +86,7 @@
 	observedHosts []string
 	quarantine    persimquarantine.Quarantine
 	pressure      persimpressure.Pressure
+	admission     *admission
 	// quarantined are the prompt parts that were quarantined when it was last logged.
 	quarantined map[uint64]bool
 }
@@ -96,6 +101,7 @@
 		hostCount:    1,
 		quarantine:   persimquarantine.New(),
 		pressure:     persimpressure.New(),
+		admission:    newAdmission(),
 	}
 }
 
@@ -112,6 +118,7 @@
 		}
 		d.placer(name).SetCacheCapacity(capacity)
 	}
+	d.admission.setCatalogue(catalogue)
 }
 
 // placer returns the placer of a service and creates it on first use.
@@ -183,6 +190,7 @@
 // a number of hosts.
 func (d *dispatcher) divideBudgets(hosts int) {
 	d.hostCount = hosts
+	d.admission.hostCount = hosts
 	d.quarantine.SetHosts(hosts)
 	for _, budget := range d.budgets {
 		budget.SetHosts(hosts)
@@ -195,6 +203,9 @@
 			placer.SetPeerLoads(now, host, nil)
 		}
 	}
+	for _, host := range hosts {
+		delete(d.admission.others, host)
+	}
 }
 
 // observeOthers records the summed state of all other hosts.
@@ -203,6 +214,7 @@
 	for _, placer := range d.placers {
 		placer.SetPeerLoads(now, allOthers, state.Loads)
 	}
+	d.admission.observe(at, allOthers, hosts, state.Ranked)
 }
 
 func (d *dispatcher) recordReports(reports map[uint64]persimplace.TimedReport) {
@@ -219,6 +231,7 @@
 	for _, placer := range d.placers {
 		placer.SetPeerLoads(now, host, state.Loads)
 	}
+	d.admission.observe(now, host, 1, state.Ranked)
 	d.recordReports(state.Reports)
 }
 
@@ -308,6 +321,7 @@
 		if speed, learned := d.placer(name).Speed(); learned {
 			rate.Speed = speed
 		}
+		rate.Ranked = d.admission.ownLoads(now, name, d.placer(name).Busy).Bounded(maxRankedLoads)
 		rates[name] = rate
 	}
 	return rates
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"persimmonport.example/persimadmit"
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
 	"persimmonport.example/persimconn"
@@ -98,6 +99,9 @@
 	Crashes persimquarantine.Evidence
 	// Pressure is what is known of the limits that upstreams name.
 	Pressure []persimpressure.News
+	// Ranked is the work of each organisation and priority that arrives, by service. The
+	// host's own is told with its demand.
+	Ranked map[string]persimadmit.Loads
 }
 
 // Counter counts the requests that started at an upstream, for the usage of each
@@ -275,6 +279,7 @@
 
 func (f *front) SharedState() SharedState {
 	f.expireSignals()
+	f.reportAdmission()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.dispatcher.sharedState(time.Now())
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -161,11 +161,14 @@
 	firstAttempt := c.attempts+c.connectFailures == 0
 	if firstAttempt {
 		f.dispatcher.addDemand(now, c.service, Demand{PrefillTokens: float64(choice.PrefillTokens)})
+		if refused := c.checkShare(now, choice, maxWait); refused != nil {
+			return choice, refused
+		}
 	}
 	if firstAttempt && choice.Expected > maxWait {
 		f.dispatcher.addDemand(now, c.service, Demand{Refused: 1})
 		return choice, &refusal{
-			status: http.StatusServiceUnavailable, cause: "upstreams are full", retryDelay: choice.Expected - maxWait,
+			status: http.StatusServiceUnavailable, cause: causeFull, retryDelay: choice.Expected - maxWait,
 		}
 	}
 	f.dispatcher.pressure.Take(now, choice.Upstream.Hash())
