Exchange of work by organisation and priority

Cause and change: the entry passes the ranked work between the front, the messages and the hub. Measured: go test -run Ranked ./persimentry passes.

--- a/persimentry/codec.go
+++ b/persimentry/codec.go
@@ -79,7 +79,7 @@
 	for service, d := range demand {
 		encoded[service] = &persimwire.Demand{
 			Tokens: d.PrefillTokens, Output: d.OutputTokens, Refused: d.Refused, Requests: d.Requests,
-			Busy: d.Busy, Speed: encodeSpeed(d.Speed),
+			Busy: d.Busy, Speed: encodeSpeed(d.Speed), Ranked: encodeRanked(d.Ranked),
 		}
 	}
 	return encoded
@@ -90,7 +90,7 @@
 	for service, d := range demand {
 		decoded[service] = persimfront.Demand{
 			PrefillTokens: d.GetTokens(), OutputTokens: d.GetOutput(), Refused: d.GetRefused(), Requests: d.GetRequests(),
-			Busy: d.GetBusy(), Speed: decodeSpeed(d.GetSpeed()),
+			Busy: d.GetBusy(), Speed: decodeSpeed(d.GetSpeed()), Ranked: decodeRanked(d.GetRanked()),
 		}
 	}
 	return decoded
@@ -133,6 +133,7 @@
 	for service, demand := range message.GetDemand() {
 		busy[service] = demand.GetBusy()
 	}
+	ranked := rankedDemand(decodeDemand(message.GetDemand()))
 	admitted := persimhub.Totals(message.GetAdmitted())
 	if admitted == nil {
 		admitted = persimhub.Totals{}
@@ -144,6 +145,7 @@
 		Unheard:     message.GetUnheard(),
 		Loads:       decodeLoads(message.GetLoads()),
 		Busy:        busy,
+		Ranked:      ranked,
 		Windows:     decodeWindows(message.GetWindows()),
 	}
 }
@@ -157,6 +159,7 @@
 		Admitted: sum.Admitted,
 		Loads:    encodeLoads(sum.Loads),
 		Busy:     sum.Busy,
+		Ranked:   encodeRankedSum(sum.Ranked),
 		Windows:  encodeWindows(sum.Windows),
 	}
 }
@@ -170,6 +173,7 @@
 		Admitted: sum.GetAdmitted(),
 		Loads:    decodeLoads(sum.GetLoads()),
 		Busy:     sum.GetBusy(),
+		Ranked:   decodeRankedSum(sum.GetRanked()),
 		Windows:  decodeWindows(sum.GetWindows()),
 	}
 }
