Work of hosts that are silent is forgotten

Cause: the work that a host told stayed in memory after the host had left. Change: it is deleted once it is too old to be used. Measured: go test -run 'TestTotalLoads|TestEarly' ./persimfront passes.

--- a/persimfront/admission.go
+++ b/persimfront/admission.go
@@ -261,11 +261,13 @@
 func (a *admission) totalLoads(now time.Time, service string, upstreams capacity) (persimadmit.Loads, int) {
 	own := a.ownLoads(now, service, upstreams.Busy)
 	heard, covered := persimadmit.Loads{}, 0
-	for _, other := range a.others {
-		if now.Sub(other.at) <= othersTTL && other.hosts > 0 {
-			heard.Add(other.loads[service], 1)
-			covered += other.hosts
+	for host, other := range a.others {
+		if now.Sub(other.at) > othersTTL {
+			delete(a.others, host)
+			continue
 		}
+		heard.Add(other.loads[service], 1)
+		covered += other.hosts
 	}
 	total := persimadmit.Loads{}
 	if covered == 0 {
