Priorities of routes count among organisations of one priority

Cause: where every organisation has a priority, that of the route was read by nothing, and the routes of a ranked service were treated alike. Ruled out: the route's priority first, since that of the organisation has precedence. Change: a rank is the priority of the organisation and, among equal ones, that of the route.

--- a/persimcatalog/rank.go
+++ b/persimcatalog/rank.go
@@ -5,13 +5,18 @@
 	"slices"
 )
 
-// Rank returns the priority of an organisation's requests on the route; zero is the first. That
-// of the organisation holds where it is set.
+// routePriorities is the number of priorities of routes that are told apart among the requests
+// of organisations of one priority.
+const routePriorities = 100
+
+// Rank returns the rank of an organisation's requests on the route; zero is the first. The
+// priority of the organisation decides where it is set, and among equal ones that of the route.
 func (r Route) Rank(organisation Organisation) int {
+	first := r.Priority
 	if organisation.Priority != nil {
-		return *organisation.Priority
+		first = *organisation.Priority
 	}
-	return r.Priority
+	return first*routePriorities + min(max(r.Priority, 0), routePriorities-1)
 }
 
 // Precedence is a pair of routes of one service of which the first has the higher priority and
@@ -35,12 +40,12 @@
 	return pairs
 }
 
-// Ranks returns the priorities that requests for a service can have, the highest first.
+// Ranks returns the ranks that requests for a service can have, the highest first.
 func (c Catalogue) Ranks(service string) []int {
 	ranks := map[int]bool{}
 	for _, route := range c.routesTo(service) {
 		if route.Anonymous || !c.RequiresKey() {
-			ranks[route.Priority] = true
+			ranks[route.Rank(Organisation{})] = true
 			continue
 		}
 		for _, organisation := range c.organisations {
