persimengine: learn the capacity of each upstream

The speed of engines was kept for a whole service, so an upstream that is slower than the others, or slows down before its slots are full, was loaded like them.

--- a/persimengine/speed.go
+++ b/persimengine/speed.go
@@ -2,8 +2,8 @@
 // responses of real requests.
 //
 // It is built for services whose engines nobody has described: what fits one
-// deployment would let twice as many requests wait in another. It reads no clock and
-// does no I/O.
+// deployment would let twice as many requests wait in another. It also learns how much
+// each upstream of a service differs from the others. It reads no clock and does no I/O.
 package persimengine
 
 import "time"
