persimplace: use the learned capacity of each upstream

The expected time is multiplied by the factor of the upstream. Requests beyond those it takes well count against it in comparisons only, so no request is refused for that. A request considers three limited upstreams on average: loads of other hosts are up to 0.6 s old, and all hosts sent to such an upstream at once when it seemed free. The front records the pace of streams while they last, since those of a slow upstream end late.

--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -120,7 +120,8 @@
 	if !ok {
 		placer = persimplace.New(
 			persimplace.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), 1))),
-			persimplace.WithGate(d.pressure))
+			persimplace.WithGate(d.pressure),
+			persimplace.WithCapacities(persimengine.NewCapacities(rand.Uint64())))
 		d.placers[service] = placer
 	}
 	return placer
@@ -193,6 +194,7 @@
 	for _, placer := range d.placers {
 		for _, host := range hosts {
 			placer.SetPeerLoads(now, host, nil)
+			placer.SetPeerEvidence(now, host, nil)
 		}
 	}
 }
@@ -202,6 +204,7 @@
 	d.quotaLimiter.ObserveSum(now, at, hosts, state.Admitted)
 	for _, placer := range d.placers {
 		placer.SetPeerLoads(now, allOthers, state.Loads)
+		placer.SetPeerEvidence(now, allOthers, state.Evidence)
 	}
 }
 
@@ -218,6 +221,7 @@
 	d.quotaLimiter.Observe(now, now, host, incarnation, state.Admitted)
 	for _, placer := range d.placers {
 		placer.SetPeerLoads(now, host, state.Loads)
+		placer.SetPeerEvidence(now, host, state.Evidence)
 	}
 	d.recordReports(state.Reports)
 }
@@ -226,6 +230,7 @@
 	state := SharedState{
 		Loads:    map[uint64]persimplace.PeerLoad{},
 		Reports:  map[uint64]persimplace.TimedReport{},
+		Evidence: persimengine.Evidence{},
 		Admitted: d.quotaLimiter.Admitted(),
 		Crashes:  d.crashEvidence(now),
 		Pressure: d.pressure.News(now),
@@ -233,7 +238,9 @@
 	for _, placer := range d.placers {
 		maps.Copy(state.Loads, placer.OwnLoads())
 		maps.Copy(state.Reports, placer.Reports(now))
+		maps.Copy(state.Evidence, placer.Evidence(now))
 	}
+	state.Evidence.Trim()
 	return state
 }
 
--- a/persimfront/events.go
+++ b/persimfront/events.go
@@ -40,6 +40,8 @@
 	lastID        string
 	// onSound is called once the response has gone on for some events.
 	onSound func()
+	// progress tells how fast the events come.
+	progress progress
 	// held is the memory of the request, in which the buffer counts.
 	held *holding
 	// events counts the events, firstAt and lastAt are when the first and the last one
@@ -169,6 +171,7 @@
 	}
 	before := e.events
 	e.events += bytes.Count(events, []byte(eventEnd)) + bytes.Count(events, []byte(longestEventEnd))
+	e.progress.count(e.lastAt, e.events-before)
 	if before < eventsWhenSound && e.events >= eventsWhenSound {
 		e.onSound()
 	}
--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -14,6 +14,7 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
 	"persimmonport.example/persimconn"
+	"persimmonport.example/persimengine"
 	"persimmonport.example/persimmetric"
 	"persimmonport.example/persimplace"
 	"persimmonport.example/persimpressure"
@@ -91,8 +92,10 @@
 // upstreams and the load reports it has, by hash of the upstream's id, the cost admitted
 // since its start, by organisation, and what it knows of crashes.
 type SharedState struct {
-	Loads    map[uint64]persimplace.PeerLoad
-	Reports  map[uint64]persimplace.TimedReport
+	Loads   map[uint64]persimplace.PeerLoad
+	Reports map[uint64]persimplace.TimedReport
+	// Evidence is what the host has observed of the capacity of upstreams.
+	Evidence persimengine.Evidence
 	Admitted map[string]float64
 	// Crashes is the evidence of prompt parts that crash upstreams.
 	Crashes persimquarantine.Evidence
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -163,6 +164,7 @@
 		onSound: a.recordSound,
 		held:    &a.held,
 	}
+	writer.progress.record = a.recordProgress
 	writer.source(exchange)
 	err := writer.copy(exchange)
 	for err != nil {
@@ -177,6 +179,7 @@
 		}
 		exchange = resumed
 		writer.resumed = true
+		writer.progress.record = nil
 		writer.source(exchange)
 		err = writer.copy(exchange)
 	}
@@ -206,7 +209,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dispatcher.placer(a.service).RecordOutput(
-		(writer.events-1)*service.Engine.TokensPerEvent, writer.lastAt.Sub(writer.firstAt))
+		time.Now(), a.ticket, (writer.events-1)*service.Engine.TokensPerEvent, writer.lastAt.Sub(writer.firstAt))
 }
 
 // abortCause returns the cause that is logged for a stream that is aborted.
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -54,6 +54,7 @@
 	ejectionTime    time.Duration
 	random          *rand.Rand
 	model           persimengine.Model
+	capacities      persimengine.Capacities
 	gate            Gate
 }
 
@@ -117,6 +118,11 @@
 	// of the engine.
 	pendingTokens int
 	measurable    bool
+	// usual is the expected time at an upstream that works as usual, or zero if the time
+	// does not tell how fast it works.
+	usual time.Duration
+	// penalty is added to the expected time in comparisons.
+	penalty time.Duration
 	// PassedOver is the number of better upstreams that take no requests now. Wait is set
 	// where there is no other: it is the shortest time until one of them does.
 	PassedOver int
@@ -150,8 +156,15 @@
 	// pendingTokens were to be prefilled before those of this request.
 	pendingTokens int
 	measurable    bool
-	responded     bool
-	ended         bool
+	usual         time.Duration
+	// load is the load of the upstream when the attempt started, as a share of its slots.
+	load float64
+	// overdue is the number of samples taken while the first byte was overdue, progressed
+	// is set once progress was recorded.
+	overdue    int
+	progressed bool
+	responded  bool
+	ended      bool
 }
 
 // Placer chooses among the upstreams of one service. It is not safe for
@@ -169,9 +182,12 @@
 	StartAttempt(now time.Time, request Request, choice Choice) *Ticket
 	// RecordResponse records the first response byte of an attempt.
 	RecordResponse(now time.Time, ticket *Ticket)
-	// RecordOutput records that a response generated a number of tokens in the time since
-	// its first byte.
-	RecordOutput(tokens int, took time.Duration)
+	// RecordOutput records that the response of an attempt generated a number of tokens in
+	// the time since its first byte.
+	RecordOutput(now time.Time, ticket *Ticket, tokens int, took time.Duration)
+	// RecordProgress records that a response in progress has generated a number of tokens in
+	// a time up to now.
+	RecordProgress(now time.Time, ticket *Ticket, tokens int, took time.Duration)
 	// AssumeSpeed sets the speed of the engines that is used until enough was observed.
 	AssumeSpeed(speed persimengine.Speed)
 	// Speed returns the speed of the engines and whether it was learned here.
@@ -194,6 +210,11 @@
 	// OwnLoads returns the load that this host has placed on the upstreams, by hash of
 	// the id.
 	OwnLoads() map[uint64]PeerLoad
+	// Evidence returns what this host has observed of the capacity of upstreams lately.
+	Evidence(now time.Time) persimengine.Evidence
+	// SetPeerEvidence replaces what another host, or several together, have observed; nil
+	// removes it.
+	SetPeerEvidence(now time.Time, host string, evidence persimengine.Evidence)
 	// Count returns the number of upstreams that take requests and the number of all.
 	Count() (usable, all int)
 }
@@ -216,6 +237,7 @@
 		ejectionTime:    DefaultEjectionTime,
 		random:          rand.New(rand.NewPCG(1, 2)),
 		model:           persimengine.New(),
+		capacities:      persimengine.NewCapacities(1),
 		gate:            openGate{},
 	}
 	for _, opt := range opts {
@@ -244,6 +266,7 @@
 		p.byHash[s.hash] = s
 	}
 	slices.SortFunc(p.sorted, func(a, b *upstreamState) int { return cmp.Compare(a.ID, b.ID) })
+	p.setCapacities()
 }
 
 func (p *placer) Count() (int, int) {
@@ -257,6 +280,7 @@
 }
 
 func (p *placer) Choose(now time.Time, request Request) (Choice, bool) {
+	p.refreshCapacities(now)
 	best, ok := p.choose(now, request, false)
 	if ok {
 		return best, true
@@ -301,7 +325,7 @@
 			continue
 		}
 		choice := p.estimate(now, s, request, preferred)
-		cost := choice.Expected + time.Duration(p.random.Int64N(int64(jitter)))
+		cost := choice.Expected + choice.penalty + time.Duration(p.random.Int64N(int64(jitter)))
 		if found && cost >= bestCost {
 			continue
 		}
@@ -349,10 +373,12 @@
 	slots := max(1, s.Slots)
 	choice := Choice{Upstream: s.Upstream, Requests: load.Requests}
 	queued := time.Duration(max(0, load.Requests+1-slots))
-	slowdown := s.slowdown(now)
+	slowdown := s.slowdown(now) * s.capacity.Factor(request.work())
 	if request.Tokens == 0 {
 		serviceTime := float64(p.serviceTime) * (1 + float64(load.Requests)/float64(slots))
 		choice.Expected = time.Duration(serviceTime*slowdown) + queued*p.serviceTime/time.Duration(slots)
+		choice.usual = p.serviceTime
+		choice.penalty = p.penalty(s, load, p.serviceTime/time.Duration(slots), p.serviceTime)
 		return choice
 	}
 	choice.PrefillTokens = s.uncachedTokens(now, request, s == preferred)
@@ -361,10 +387,15 @@
 		pendingTokens += load.Normal
 	}
 	speed := p.model.Speed()
-	prefill := float64(speed.Prefill(pendingTokens+choice.PrefillTokens)) * slowdown
-	choice.Expected = time.Duration(prefill) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
+	prefill := speed.Prefill(pendingTokens + choice.PrefillTokens)
+	choice.Expected = time.Duration(float64(prefill)*slowdown) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
 	choice.pendingTokens = pendingTokens
-	choice.measurable = queued == 0 && slowdown <= maxMeasurableSlowdown && mostlyUnshared(request, choice.PrefillTokens)
+	choice.penalty = p.penalty(s, load, delayPerRequest, speed.Run)
+	unshared := mostlyUnshared(request, choice.PrefillTokens)
+	choice.measurable = queued == 0 && slowdown <= maxMeasurableSlowdown && unshared
+	if unshared {
+		choice.usual = prefill
+	}
 	return choice
 }
 
@@ -386,8 +417,6 @@
 	return float64(prefillTokens-own) <= maxSharedShare*float64(prefillTokens)
 }
 
-func (p *placer) RecordOutput(tokens int, took time.Duration) { p.model.ObserveOutput(tokens, took) }
-
 func (p *placer) AssumeSpeed(speed persimengine.Speed) { p.model.Assume(speed) }
 
 func (p *placer) Speed() (persimengine.Speed, bool) { return p.model.Speed(), p.model.Learned() }
@@ -406,7 +435,7 @@
 		s = newUpstreamState(choice.Upstream)
 		s.Upstream = choice.Upstream
 	}
-	t := &Ticket{state: s, request: request, prefillTokens: choice.PrefillTokens, sentAt: now, expected: choice.Expected, pendingTokens: choice.pendingTokens, measurable: choice.measurable}
+	t := &Ticket{state: s, request: request, prefillTokens: choice.PrefillTokens, sentAt: now, expected: choice.Expected, pendingTokens: choice.pendingTokens, measurable: choice.measurable, usual: choice.usual, load: choice.load()}
 	s.addAttempt(t)
 	s.cacheParts(now, request, p.cacheCapacity)
 	return t
@@ -417,6 +446,7 @@
 		return
 	}
 	t.state.recordResponse(now, t)
+	p.observeResponse(now, t)
 	if t.measurable && t.tellsPrefill() {
 		p.model.ObservePrefill(t.pendingTokens+t.prefillTokens, now.Sub(t.sentAt))
 	}
--- a/persimplace/state.go
+++ b/persimplace/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimengine"
 )
 
 // cacheTTL is how long a prompt part is assumed to stay cached without use.
@@ -15,6 +16,7 @@
 	// hash is the hash of the id, key that of the incarnation.
 	hash       uint64
 	key        uint64
+	capacity   persimengine.Capacity
 	ownLoad    PeerLoad
 	report     Report
 	reportedAt time.Time
@@ -28,7 +30,7 @@
 }
 
 func newUpstreamState(upstream persimcatalog.Upstream) *upstreamState {
-	return &upstreamState{Upstream: upstream, hash: Hash(upstream.ID), key: upstream.Hash(), cache: promptCache{}}
+	return &upstreamState{Upstream: upstream, hash: Hash(upstream.ID), key: upstream.Hash(), capacity: persimengine.PriorCapacity, cache: promptCache{}}
 }
 
 func (s *upstreamState) addAttempt(t *Ticket) {
