Exchange evidence of the capacity of upstreams

A host of a large deployment sees too few responses of an upstream: field 30 of Exchange and field 10 of Sum carry evidence, which hubs add and subtract like loads.

go test ./persimhub and the capacity tests of ./persimentry pass.

--- a/persimentry/codec.go
+++ b/persimentry/codec.go
@@ -124,6 +124,7 @@
 	message.Admitted = report.Admitted
 	message.Unheard = report.Unheard
 	message.Loads = encodeLoads(report.Loads)
+	message.Evidence = encodeCapacityEvidence(report.Evidence)
 	message.Windows = encodeWindows(report.Windows)
 }
 
@@ -143,6 +144,7 @@
 		Admitted:    admitted,
 		Unheard:     message.GetUnheard(),
 		Loads:       decodeLoads(message.GetLoads()),
+		Evidence:    decodeCapacityEvidence(message.GetEvidence()),
 		Busy:        busy,
 		Windows:     decodeWindows(message.GetWindows()),
 	}
@@ -156,6 +158,7 @@
 		AgeMs:    sum.Age.Milliseconds(),
 		Admitted: sum.Admitted,
 		Loads:    encodeLoads(sum.Loads),
+		Evidence: encodeCapacityEvidence(sum.Evidence),
 		Busy:     sum.Busy,
 		Windows:  encodeWindows(sum.Windows),
 	}
@@ -169,6 +172,7 @@
 		Age:      time.Duration(sum.GetAgeMs()) * time.Millisecond,
 		Admitted: sum.GetAdmitted(),
 		Loads:    decodeLoads(sum.GetLoads()),
+		Evidence: decodeCapacityEvidence(sum.GetEvidence()),
 		Busy:     sum.GetBusy(),
 		Windows:  decodeWindows(sum.GetWindows()),
 	}
--- a/persimentry/hub.go
+++ b/persimentry/hub.go
@@ -80,6 +80,7 @@
 		Admitted:    local.Admitted,
 		Unheard:     unheard,
 		Loads:       local.Loads,
+		Evidence:    local.Evidence,
 		Busy:        busy,
 		Windows:     e.usage.Local(),
 	}
@@ -146,7 +147,7 @@
 		}
 		return
 	}
-	e.front.Observe(received.GetHost(), report.Incarnation, persimfront.SharedState{Loads: report.Loads, Admitted: report.Admitted})
+	e.front.Observe(received.GetHost(), report.Incarnation, persimfront.SharedState{Loads: report.Loads, Evidence: report.Evidence, Admitted: report.Admitted})
 	e.usage.ObserveRemote(received.GetHost()+" "+report.Incarnation, report.Windows)
 }
 
@@ -163,6 +164,7 @@
 	e.front.ObserveOthers(now.Add(-others.Age), others.Hosts, persimfront.SharedState{
 		Admitted: e.follower.Admitted(),
 		Loads:    others.Loads,
+		Evidence: others.Evidence,
 	})
 	e.usage.ObserveRemote(hubUsageSource, e.follower.Windows())
 }
--- a/persimhub/hub.go
+++ b/persimhub/hub.go
@@ -10,10 +10,12 @@
 package persimhub
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
 	"persimmonport.example/persimduty"
+	"persimmonport.example/persimengine"
 )
 
 const (
@@ -57,11 +59,14 @@
 	// counted grows by what the hosts of this centre admit, total by what all do.
 	counted Totals
 	total   Totals
-	// loads and busy are the sums over this centre, allLoads that over all centres.
-	loads    Loads
-	busy     map[string]float64
-	allLoads Loads
-	usage    persimduty.Usage
+	// loads, busy and evidence are the sums over this centre, allLoads and allEvidence those
+	// over all centres.
+	loads       Loads
+	busy        map[string]float64
+	allLoads    Loads
+	evidence    persimengine.Evidence
+	allEvidence persimengine.Evidence
+	usage       persimduty.Usage
 }
 
 // member is the state of one host of this centre.
@@ -103,6 +108,8 @@
 		loads:       Loads{},
 		busy:        map[string]float64{},
 		allLoads:    Loads{},
+		evidence:    persimengine.Evidence{},
+		allEvidence: persimengine.Evidence{},
 		usage:       persimduty.NewUsage(h.usageWindow),
 	}
 }
@@ -123,6 +130,8 @@
 	m.present = true
 	h.loads.add(report.Loads, 1)
 	h.allLoads.add(report.Loads, 1)
+	h.evidence.Add(report.Evidence, 1)
+	h.allEvidence.Add(report.Evidence, 1)
 	addBusy(h.busy, report.Busy, 1)
 	h.usage.ObserveRemote(name+" "+report.Incarnation, report.Windows)
 }
@@ -159,6 +168,8 @@
 	m.present = false
 	h.loads.add(m.Loads, -1)
 	h.allLoads.add(m.Loads, -1)
+	h.evidence.Add(m.Evidence, -1)
+	h.allEvidence.Add(m.Evidence, -1)
 	addBusy(h.busy, m.Busy, -1)
 }
 
@@ -182,6 +193,7 @@
 	c.heardAt = now
 	c.present = true
 	h.allLoads.add(sum.Loads, 1)
+	h.allEvidence.Add(sum.Evidence, 1)
 }
 
 func (h *hub) removeCentre(c *centre) {
@@ -190,6 +202,7 @@
 	}
 	c.present = false
 	h.allLoads.add(c.Loads, -1)
+	h.allEvidence.Add(c.Evidence, -1)
 }
 
 // expire removes the loads and demands of hosts and centres that are silent.
@@ -232,6 +245,7 @@
 		Age:      meanAge(ages, hosts),
 		Admitted: h.counted.clone(),
 		Loads:    h.loads.clone(),
+		Evidence: maps.Clone(h.evidence),
 		Busy:     addBusy(map[string]float64{}, h.busy, 1),
 		Windows:  h.recentWindows(now),
 	}
@@ -261,12 +275,14 @@
 		Uptime:   now.Sub(h.startedAt),
 		Admitted: h.total.clone(),
 		Loads:    h.allLoads.clone(),
+		Evidence: maps.Clone(h.allEvidence),
 		Busy:     addBusy(map[string]float64{}, h.busy, 1),
 	}
 	if m, ok := h.hosts[except]; ok {
 		sum.Admitted.subtract(m.counted)
 		if m.present {
 			sum.Loads.add(m.Loads, -1)
+			sum.Evidence.Add(m.Evidence, -1)
 			addBusy(sum.Busy, m.Busy, -1)
 		}
 	}
--- a/persimhub/sum.go
+++ b/persimhub/sum.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonport.example/persimduty"
+	"persimmonport.example/persimengine"
 	"persimmonport.example/persimplace"
 )
 
@@ -21,6 +22,8 @@
 	Admitted Totals
 	Unheard  Totals
 	Loads    Loads
+	// Evidence is what was observed of the capacity of upstreams.
+	Evidence persimengine.Evidence
 	// Busy is the number of upstreams that arriving work keeps busy, by service.
 	Busy map[string]float64
 	// Windows are the requests counted in each usage window.
@@ -40,6 +43,7 @@
 	// Admitted grows by what the hosts admit.
 	Admitted Totals
 	Loads    Loads
+	Evidence persimengine.Evidence
 	Busy     map[string]float64
 	Windows  map[int64]persimduty.Counts
 }
