--- a/persimplace/capacity.go
+++ b/persimplace/capacity.go
@@ -109,8 +109,8 @@
 	p.capacities.Observe(now, persimengine.Sample{Upstream: t.state.key, Work: work, Load: load, Ratio: ratio})
 }
 
-// penalty returns what is added in comparisons to the expected time at an upstream that
-// takes fewer requests well than its slots, given the delay that each request adds and the
+// penalty returns what is added in comparisons to the expected time at a limited upstream,
+// given the delay that each request adds and the
 // time that one runs. Requests count as if the slots were that few, and those beyond them
 // delay all others. It is no part of the expected time, so that no request is refused for
 // it.
@@ -118,9 +118,6 @@
 // Loads of other hosts are known late, so all hosts would send to such an upstream at once
 // when it seems free. Each request therefore considers only a few of them.
 func (p *placer) penalty(s *upstreamState, load PeerLoad, perRequest, run time.Duration) time.Duration {
-	if !s.capacity.Limited() {
-		return 0
-	}
 	slots := max(1, s.Slots)
 	well := s.capacity.Slots(slots)
 	penalty := time.Duration(load.Requests*(slots-well)) * perRequest
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -378,7 +378,9 @@
 		serviceTime := float64(p.serviceTime) * (1 + float64(load.Requests)/float64(slots))
 		choice.Expected = time.Duration(serviceTime*slowdown) + queued*p.serviceTime/time.Duration(slots)
 		choice.usual = p.serviceTime
-		choice.penalty = p.penalty(s, load, p.serviceTime/time.Duration(slots), p.serviceTime)
+		if s.capacity.Limited() {
+			choice.penalty = p.penalty(s, load, p.serviceTime/time.Duration(slots), p.serviceTime)
+		}
 		return choice
 	}
 	choice.PrefillTokens = s.uncachedTokens(now, request, s == preferred)
@@ -390,7 +392,9 @@
 	prefill := speed.Prefill(pendingTokens + choice.PrefillTokens)
 	choice.Expected = time.Duration(float64(prefill)*slowdown) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
 	choice.pendingTokens = pendingTokens
-	choice.penalty = p.penalty(s, load, delayPerRequest, speed.Run)
+	if s.capacity.Limited() {
+		choice.penalty = p.penalty(s, load, delayPerRequest, speed.Run)
+	}
 	unshared := mostlyUnshared(request, choice.PrefillTokens)
 	choice.measurable = queued == 0 && slowdown <= maxMeasurableSlowdown && unshared
 	if unshared {
