--- a/persimentry/codec.go
+++ b/persimentry/codec.go
@@ -124,6 +124,7 @@
 	message.Admitted = report.Admitted
 	message.Unheard = report.Unheard
 	message.Loads = encodeLoads(report.Loads)
+	message.Evidence = encodeCapacityEvidence(report.Evidence)
 	message.Windows = encodeWindows(report.Windows)
 }
 
@@ -144,6 +145,7 @@
 		Admitted:    admitted,
 		Unheard:     message.GetUnheard(),
 		Loads:       decodeLoads(message.GetLoads()),
+		Evidence:    decodeCapacityEvidence(message.GetEvidence()),
 		Busy:        busy,
 		Ranked:      ranked,
 		Windows:     decodeWindows(message.GetWindows()),
@@ -158,6 +160,7 @@
 		AgeMs:    sum.Age.Milliseconds(),
 		Admitted: sum.Admitted,
 		Loads:    encodeLoads(sum.Loads),
+		Evidence: encodeCapacityEvidence(sum.Evidence),
 		Busy:     sum.Busy,
 		Ranked:   encodeRankedSum(sum.Ranked),
 		Windows:  encodeWindows(sum.Windows),
@@ -172,6 +175,7 @@
 		Age:      time.Duration(sum.GetAgeMs()) * time.Millisecond,
 		Admitted: sum.GetAdmitted(),
 		Loads:    decodeLoads(sum.GetLoads()),
+		Evidence: decodeCapacityEvidence(sum.GetEvidence()),
 		Busy:     sum.GetBusy(),
 		Ranked:   decodeRankedSum(sum.GetRanked()),
 		Windows:  decodeWindows(sum.GetWindows()),
--- a/persimentry/hub.go
+++ b/persimentry/hub.go
@@ -80,6 +80,7 @@
 		Admitted:    local.Admitted,
 		Unheard:     unheard,
 		Loads:       local.Loads,
+		Evidence:    local.Evidence,
 		Busy:        busy,
 		Ranked:      rankedDemand(local.demand),
 		Windows:     e.usage.Local(),
@@ -147,7 +148,9 @@
 		}
 		return
 	}
-	e.front.Observe(received.GetHost(), report.Incarnation, persimfront.SharedState{Loads: report.Loads, Admitted: report.Admitted, Ranked: report.Ranked})
+	e.front.Observe(received.GetHost(), report.Incarnation, persimfront.SharedState{
+		Loads: report.Loads, Evidence: report.Evidence, Admitted: report.Admitted, Ranked: report.Ranked,
+	})
 	e.usage.ObserveRemote(received.GetHost()+" "+report.Incarnation, report.Windows)
 }
 
@@ -165,6 +168,7 @@
 		Admitted: e.follower.Admitted(),
 		Loads:    others.Loads,
 		Ranked:   others.Ranked,
+		Evidence: others.Evidence,
 	})
 	e.usage.ObserveRemote(hubUsageSource, e.follower.Windows())
 }
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -135,7 +135,8 @@
 	if !ok {
 		placer = persimplace.New(
 			persimplace.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), 1))),
-			persimplace.WithGate(d.pressure))
+			persimplace.WithGate(d.pressure),
+			persimplace.WithCapacities(persimengine.NewCapacities(rand.Uint64())))
 		d.placers[service] = placer
 	}
 	return placer
@@ -212,6 +213,7 @@
 	for _, placer := range d.placers {
 		for _, host := range hosts {
 			placer.SetPeerLoads(now, host, nil)
+			placer.SetPeerEvidence(now, host, nil)
 		}
 	}
 	for _, host := range hosts {
@@ -224,6 +226,7 @@
 	d.quotaLimiter.ObserveSum(now, at, hosts, state.Admitted)
 	for _, placer := range d.placers {
 		placer.SetPeerLoads(now, allOthers, state.Loads)
+		placer.SetPeerEvidence(now, allOthers, state.Evidence)
 	}
 	d.admission.observe(at, allOthers, hosts, state.Ranked)
 }
@@ -241,6 +244,7 @@
 	d.quotaLimiter.Observe(now, now, host, incarnation, state.Admitted)
 	for _, placer := range d.placers {
 		placer.SetPeerLoads(now, host, state.Loads)
+		placer.SetPeerEvidence(now, host, state.Evidence)
 	}
 	d.admission.observe(now, host, 1, state.Ranked)
 	d.recordReports(state.Reports)
@@ -250,6 +254,7 @@
 	state := SharedState{
 		Loads:    map[uint64]persimplace.PeerLoad{},
 		Reports:  map[uint64]persimplace.TimedReport{},
+		Evidence: persimengine.Evidence{},
 		Admitted: d.quotaLimiter.Admitted(),
 		Crashes:  d.crashEvidence(now),
 		Pressure: d.pressure.News(now),
@@ -257,7 +262,9 @@
 	for _, placer := range d.placers {
 		maps.Copy(state.Loads, placer.OwnLoads())
 		maps.Copy(state.Reports, placer.Reports(now))
+		maps.Copy(state.Evidence, placer.Evidence(now))
 	}
+	state.Evidence.Trim()
 	return state
 }
 
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -164,6 +164,7 @@
 		onSound: a.recordSound,
 		held:    &a.held,
 	}
+	writer.pace.record = a.recordProgress
 	moved, err := a.copyStream(writer, exchange)
 	for err != nil {
 		exchange.Abandon()
@@ -177,6 +178,7 @@
 		}
 		exchange = resumed
 		writer.resumed = true
+		writer.pace.record = nil
 		moved, err = a.copyStream(writer, exchange)
 	}
 	if err == nil {
@@ -237,7 +239,7 @@
 	if speed, _ := placer.Speed(); tokens > 0 {
 		a.observed.recordPace(took/time.Duration(tokens), speed.OutputToken)
 	}
-	placer.RecordOutput(tokens, took)
+	placer.RecordOutput(time.Now(), a.ticket, tokens, took)
 }
 
 // abortCause returns the cause that is logged for a stream that is aborted.
--- a/persimhub/sum.go
+++ b/persimhub/sum.go
@@ -6,6 +6,7 @@
 
 	"persimmonport.example/persimadmit"
 	"persimmonport.example/persimduty"
+	"persimmonport.example/persimengine"
 	"persimmonport.example/persimplace"
 )
 
@@ -23,6 +24,8 @@
 	Admitted Totals
 	Unheard  Totals
 	Loads    Loads
+	// Evidence is what was observed of the capacity of upstreams.
+	Evidence persimengine.Evidence
 	// Busy is the number of upstreams that arriving work keeps busy, by service.
 	Busy map[string]float64
 	// Ranked is the part of Busy of each organisation and priority.
@@ -44,6 +47,7 @@
 	// Admitted grows by what the hosts admit.
 	Admitted Totals
 	Loads    Loads
+	Evidence persimengine.Evidence
 	Busy     map[string]float64
 	Ranked   Ranked
 	Windows  map[int64]persimduty.Counts
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -54,6 +54,7 @@
 	ejectionTime    time.Duration
 	random          *rand.Rand
 	model           persimengine.Model
+	capacities      persimengine.Capacities
 	gate            Gate
 }
 
@@ -127,6 +128,11 @@
 	// of the engine.
 	pendingTokens int
 	measurable    bool
+	// usual is the expected time at an upstream that works as usual, or zero if the time
+	// does not tell how fast it works.
+	usual time.Duration
+	// penalty is added to the expected time in comparisons.
+	penalty time.Duration
 	// PassedOver is the number of better upstreams that take no requests now. Wait is set
 	// where there is no other: it is the shortest time until one of them does.
 	PassedOver int
@@ -160,8 +166,15 @@
 	// pendingTokens were to be prefilled before those of this request.
 	pendingTokens int
 	measurable    bool
-	responded     bool
-	ended         bool
+	usual         time.Duration
+	// load is the load of the upstream when the attempt started, as a share of its slots.
+	load float64
+	// overdue is the number of samples taken while the first byte was overdue, progressed
+	// is set once progress was recorded.
+	overdue    int
+	progressed bool
+	responded  bool
+	ended      bool
 }
 
 // Placer chooses among the upstreams of one service. It is not safe for
@@ -179,9 +192,12 @@
 	StartAttempt(now time.Time, request Request, choice Choice) *Ticket
 	// RecordResponse records the first response byte of an attempt.
 	RecordResponse(now time.Time, ticket *Ticket)
-	// RecordOutput records that a response generated a number of tokens in the time since
-	// its first byte.
-	RecordOutput(tokens int, took time.Duration)
+	// RecordOutput records that the response of an attempt generated a number of tokens in
+	// the time since its first byte.
+	RecordOutput(now time.Time, ticket *Ticket, tokens int, took time.Duration)
+	// RecordProgress records that a response in progress has generated a number of tokens in
+	// a time up to now.
+	RecordProgress(now time.Time, ticket *Ticket, tokens int, took time.Duration)
 	// AssumeSpeed sets the speed of the engines that is used until enough was observed.
 	AssumeSpeed(speed persimengine.Speed)
 	// Speed returns the speed of the engines and whether it was learned here.
@@ -211,6 +227,11 @@
 	// Capacity returns the number of upstreams that take requests and are not ejected after
 	// failures, each divided by the slowdown that it reports.
 	Capacity(now time.Time) float64
+	// Evidence returns what this host has observed of the capacity of upstreams lately.
+	Evidence(now time.Time) persimengine.Evidence
+	// SetPeerEvidence replaces what another host, or several together, have observed; nil
+	// removes it.
+	SetPeerEvidence(now time.Time, host string, evidence persimengine.Evidence)
 	// Count returns the number of upstreams that take requests and the number of all.
 	Count() (usable, all int)
 }
@@ -233,6 +254,7 @@
 		ejectionTime:    DefaultEjectionTime,
 		random:          rand.New(rand.NewPCG(1, 2)),
 		model:           persimengine.New(),
+		capacities:      persimengine.NewCapacities(1),
 		gate:            openGate{},
 	}
 	for _, opt := range opts {
@@ -261,6 +283,7 @@
 		p.byHash[s.hash] = s
 	}
 	slices.SortFunc(p.sorted, func(a, b *upstreamState) int { return cmp.Compare(a.ID, b.ID) })
+	p.setCapacities()
 }
 
 func (p *placer) Count() (int, int) {
@@ -274,6 +297,7 @@
 }
 
 func (p *placer) Choose(now time.Time, request Request) (Choice, bool) {
+	p.refreshCapacities(now)
 	best, ok := p.choose(now, request, false)
 	if ok {
 		return best, true
@@ -318,7 +342,7 @@
 			continue
 		}
 		choice := p.estimate(now, s, request, preferred)
-		cost := choice.Expected + time.Duration(p.random.Int64N(int64(request.spread(choice))))
+		cost := choice.Expected + choice.penalty + time.Duration(p.random.Int64N(int64(request.spread(choice))))
 		if found && cost >= bestCost {
 			continue
 		}
@@ -372,10 +396,14 @@
 	slots := max(1, s.Slots)
 	choice := Choice{Upstream: s.Upstream, Requests: load.Requests}
 	queued := time.Duration(max(0, load.Requests+1-slots))
-	slowdown := s.slowdown(now)
+	slowdown := s.slowdown(now) * s.capacity.Factor(request.work())
 	if request.Tokens == 0 {
 		serviceTime := float64(p.serviceTime) * (1 + float64(load.Requests)/float64(slots))
 		choice.Expected = time.Duration(serviceTime*slowdown) + queued*p.serviceTime/time.Duration(slots)
+		choice.usual = p.serviceTime
+		if s.capacity.Limited() {
+			choice.penalty = p.penalty(s, load, p.serviceTime/time.Duration(slots), p.serviceTime)
+		}
 		return choice
 	}
 	choice.PrefillTokens = s.uncachedTokens(now, request, s == preferred)
@@ -384,10 +412,17 @@
 		pendingTokens += load.Normal
 	}
 	speed := p.model.Speed()
-	prefill := float64(speed.Prefill(pendingTokens+choice.PrefillTokens)) * slowdown
-	choice.Expected = time.Duration(prefill) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
+	prefill := speed.Prefill(pendingTokens + choice.PrefillTokens)
+	choice.Expected = time.Duration(float64(prefill)*slowdown) + time.Duration(load.Requests)*delayPerRequest + queued*speed.QueueStep(slots)
 	choice.pendingTokens = pendingTokens
-	choice.measurable = queued == 0 && slowdown <= maxMeasurableSlowdown && mostlyUnshared(request, choice.PrefillTokens)
+	if s.capacity.Limited() {
+		choice.penalty = p.penalty(s, load, delayPerRequest, speed.Run)
+	}
+	unshared := mostlyUnshared(request, choice.PrefillTokens)
+	choice.measurable = queued == 0 && slowdown <= maxMeasurableSlowdown && unshared
+	if unshared {
+		choice.usual = prefill
+	}
 	return choice
 }
 
@@ -409,8 +444,6 @@
 	return float64(prefillTokens-own) <= maxSharedShare*float64(prefillTokens)
 }
 
-func (p *placer) RecordOutput(tokens int, took time.Duration) { p.model.ObserveOutput(tokens, took) }
-
 func (p *placer) AssumeSpeed(speed persimengine.Speed) { p.model.Assume(speed) }
 
 func (p *placer) Speed() (persimengine.Speed, bool) { return p.model.Speed(), p.model.Learned() }
@@ -433,7 +466,7 @@
 		s = newUpstreamState(choice.Upstream)
 		s.Upstream = choice.Upstream
 	}
-	t := &Ticket{state: s, request: request, prefillTokens: choice.PrefillTokens, sentAt: now, expected: choice.Expected, pendingTokens: choice.pendingTokens, measurable: choice.measurable}
+	t := &Ticket{state: s, request: request, prefillTokens: choice.PrefillTokens, sentAt: now, expected: choice.Expected, pendingTokens: choice.pendingTokens, measurable: choice.measurable, usual: choice.usual, load: choice.load()}
 	s.addAttempt(t)
 	s.cacheParts(now, request, p.cacheCapacity)
 	return t
@@ -444,6 +477,7 @@
 		return
 	}
 	t.state.recordResponse(now, t)
+	p.observeResponse(now, t)
 	if t.measurable && t.tellsPrefill() {
 		p.model.ObservePrefill(t.pendingTokens+t.prefillTokens, now.Sub(t.sentAt))
 	}
