--- a/persimfront/progress_test.go
+++ b/persimfront/streampace_test.go
@@ -11,7 +11,7 @@
 // once its streams have ended.
 func TestProgressIsRecordedWhileStreamLasts(t *testing.T) {
 	events, took := 0, time.Duration(0)
-	p := progress{record: func(n int, d time.Duration) { events, took = events+n, took+d }}
+	p := streamPace{record: func(n int, d time.Duration) { events, took = events+n, took+d }}
 	at := time.Unix(1_000_000, 0)
 	for range 11 {
 		p.count(at, 1)
