--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -61,6 +61,8 @@
 	streams   map[*movableStream]struct{}
 	metrics   persimmetric.Metrics
 	admission *admission
+	// limited are the upstreams that were known to have less capacity when it was last logged.
+	limited map[persimcatalog.Incarnation]bool
 	// quarantined are the prompt parts that were quarantined when it was last logged.
 	quarantined map[uint64]bool
 }
--- a/persimplace/learned.go
+++ b/persimplace/learned.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimengine"
 )
 
@@ -31,6 +32,29 @@
 	return func(c *config) { c.capacities = capacities }
 }
 
+// LimitedUpstream is an upstream with the number of requests that it takes well and the
+// duration of its work relative to that of the others.
+type LimitedUpstream struct {
+	Upstream persimcatalog.Incarnation
+	Slots    int
+	Slowdown float64
+}
+
+func (p *placer) Limited() []LimitedUpstream {
+	var limited []LimitedUpstream
+	for _, s := range p.sorted {
+		if !s.capacity.Limited() {
+			continue
+		}
+		slowdown := 1.0
+		for _, work := range []persimengine.Work{persimengine.WorkPrefill, persimengine.WorkOutput, persimengine.WorkPlain} {
+			slowdown = max(slowdown, s.capacity.Factor(work))
+		}
+		limited = append(limited, LimitedUpstream{Upstream: s.Incarnation, Slots: s.capacity.Slots(max(1, s.Slots)), Slowdown: slowdown})
+	}
+	return limited
+}
+
 // work returns the kind of work before the first byte of a response.
 func (r Request) work() persimengine.Work {
 	if r.Tokens == 0 {
--- a/persimplace/learned_test.go
+++ b/persimplace/learned_test.go
@@ -147,3 +147,32 @@
 	}
 	return chosen
 }
+
+// TestLimitedUpstreams guards against slow upstreams that operators don't see.
+func TestLimitedUpstreams(t *testing.T) {
+	const count, samples = 10, 200
+	capacities := persimengine.NewCapacities(1)
+	p := New(WithCapacities(capacities))
+	p.SetUpstreams(makeUpstreams(count))
+	observe := func(from time.Time, slowRatio float64) time.Time {
+		at := from
+		for i := range samples * count {
+			at = at.Add(time.Millisecond)
+			upstream := makeUpstreams(count)[i%count]
+			ratio := 1.0
+			if i%count == 0 {
+				ratio = slowRatio
+			}
+			capacities.Observe(at, persimengine.Sample{Upstream: upstream.Hash(), Work: persimengine.WorkOutput, Load: 0.2, Ratio: ratio})
+		}
+		choose(t, p, at, prompt(1, 1))
+		return at
+	}
+	at := observe(start, 3)
+	limited := p.Limited()
+	require.Len(t, limited, 1)
+	require.Equal(t, "u0", limited[0].Upstream.ID)
+	require.Greater(t, limited[0].Slowdown, 2.0)
+	observe(at.Add(time.Minute), 1)
+	require.Empty(t, p.Limited())
+}
--- a/persimplace/place.go
+++ b/persimplace/place.go
@@ -137,6 +137,9 @@
 	// SetPeerEvidence replaces what another host, or several together, have observed; nil
 	// removes it.
 	SetPeerEvidence(now time.Time, host string, evidence persimengine.Evidence)
+	// Limited returns the upstreams that are known to be slower than the others or to take
+	// fewer requests well than their slots.
+	Limited() []LimitedUpstream
 	// Count returns the number of upstreams that take requests and the number of all.
 	Count() (usable, all int)
 }
