Read-through: wrong comments, private names, a count of upstreams in rollouts

Cause: a reader who had not seen the work found comments that contradict the code, names that need explaining and one fault: upstreams of a third version, which get no requests, counted as carrying the traffic, so that a good version could be rolled back. Measured: TestCapacityOfTheVersionInUse; persimengine and a subset of persimfront pass.

--- a/persimadmit/limiter.go
+++ b/persimadmit/limiter.go
@@ -124,6 +124,7 @@
 		c, ok = s.cells[Key{Rank: rank, Rest: true}]
 	}
 	if !ok {
+		// The work of the organisation is not in the sums yet.
 		return 0, true
 	}
 	if unit(requestHash) < c.admitShare(returned) {
--- a/persimengine/model.go
+++ b/persimengine/model.go
@@ -16,8 +16,8 @@
 	// maxStep is the largest factor by which one estimate changes a speed that was learned
 	// here or by another host.
 	maxStep = 1.04
-	// maxUntold is the number of prefills that a host keeps for others.
-	maxUntold = 16
+	// maxUnsent is the number of prefills that a host keeps for others.
+	maxUnsent = 16
 	// estimateInterval is the number of responses after which the estimate is renewed.
 	estimateInterval = 4
 	// minTokenDistance is the smallest difference in length between two prompts whose
@@ -70,8 +70,8 @@
 	// told is set if the assumed speed was learned by another host.
 	told     bool
 	prefills ring[Prefill]
-	// untold are the latest prefills observed here that were not taken, up to maxUntold.
-	untold []Prefill
+	// unsent are the latest prefills observed here that were not taken, up to maxUnsent.
+	unsent []Prefill
 	// tokenTimes and runs hold the time for each output token and for whole responses.
 	tokenTimes ring[time.Duration]
 	runs       ring[time.Duration]
@@ -104,16 +104,16 @@
 
 func (m *model) ObservePrefill(tokens int, took time.Duration) {
 	observed := Prefill{Tokens: tokens, Took: took}
-	if len(m.untold) == maxUntold {
-		m.untold = m.untold[1:]
+	if len(m.unsent) == maxUnsent {
+		m.unsent = m.unsent[1:]
 	}
-	m.untold = append(m.untold, observed)
+	m.unsent = append(m.unsent, observed)
 	m.observe(observed)
 }
 
 func (m *model) TakePrefills() []Prefill {
-	taken := m.untold
-	m.untold = nil
+	taken := m.unsent
+	m.unsent = nil
 	return taken
 }
 
--- a/persimengine/model_test.go
+++ b/persimengine/model_test.go
@@ -169,7 +169,7 @@
 	})
 	t.Run("what is kept for others is bounded", func(t *testing.T) {
 		m := New()
-		e.feed(m, 10*maxUntold)
-		require.Len(t, m.TakePrefills(), maxUntold)
+		e.feed(m, 10*maxUnsent)
+		require.Len(t, m.TakePrefills(), maxUnsent)
 	})
 }
--- a/persimentry/prefills.go
+++ b/persimentry/prefills.go
@@ -10,7 +10,8 @@
 
 // addPrefills adds to a message the prefills that this host has observed. In a large
 // deployment a host sees too few of them to learn the speed of engines soon, so that hubs
-// learn it from those of all hosts. It needs the lock of the entry.
+// learn it from those of all hosts. Those in a message that is lost are not sent again. It needs
+// the lock of the entry.
 func (e *entry) addPrefills(state *persimwire.Exchange) {
 	if e.usesHubs() && !e.wasHub {
 		state.Prefills = encodePrefills(e.front.TakePrefills())
--- a/persimentry/rolloutstore.go
+++ b/persimentry/rolloutstore.go
@@ -93,10 +93,7 @@
 				delay = 0
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
-		}
+		wait(ctx, delay)
 	}
 }
 
@@ -201,7 +198,7 @@
 	for _, object := range objects {
 		service := decodeRolloutObject(object).Service
 		if other, ok := listed[service]; ok {
-			klog.InfoS("rollout: another object orders one of the service", "service", service, "name", object.Name, "used", other.Name)
+			klog.InfoS("rollout: second object for a service is ignored", "service", service, "name", object.Name, "used", other.Name)
 			continue
 		}
 		listed[service] = object
@@ -226,8 +223,8 @@
 	s.controller.SetObject(time.Now(), &decoded)
 }
 
-// applyRolloutObject applies one changed object. One that names another service than before is
-// left to the next list, which also ends the order of the former service.
+// applyRolloutObject applies one changed object. If it named another service before, the order
+// of that service is ended first. It is left out if the service has another object.
 func (e *entry) applyRolloutObject(fence int64, object platform.Object) {
 	r := &e.rollouts
 	r.mu.Lock()
@@ -263,8 +260,7 @@
 	if err == nil && e.holdsRolloutFence(fence) {
 		var written platform.Object
 		written, err = e.objects.WriteStatus(ctx, platform.RolloutKind, object)
-		klog.InfoS("rollout status written", "service", service, "state", status.State, "target", status.Target,
-			"revision", object.Revision, "fence", fence, "error", persimlog.ErrorText(err))
+		logStatusWrite(service, status, object.Revision, fence, err)
 		if err != nil {
 			written, err = e.readAgain(ctx, fence, platform.RolloutKind, object.Name)
 		}
@@ -284,6 +280,16 @@
 	}
 }
 
+func logStatusWrite(service string, status persimrollout.Status, revision, fence int64, err error) {
+	if err != nil {
+		klog.ErrorS(nil, "rollout status not written", "service", service, "state", status.State, "target", status.Target,
+			"revision", revision, "fence", fence, "error", persimlog.ErrorText(err))
+		return
+	}
+	klog.InfoS("rollout status written", "service", service, "state", status.State, "target", status.Target,
+		"revision", revision, "fence", fence)
+}
+
 // writeRolloutRecord writes the record of a service, or deletes it if it is nil.
 func (e *entry) writeRolloutRecord(ctx context.Context, fence int64, service string, stored platform.Object, record *persimrollout.Record) {
 	object, err := stored, error(nil)
--- a/persimfront/body.go
+++ b/persimfront/body.go
@@ -29,7 +29,7 @@
 	if c.held.settle(cost) {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, cause: closedForHead, retryDelay: c.front.memory.wait(time.Now(), cost)}
+	return &refusal{status: http.StatusServiceUnavailable, cause: causeNoHeadMemory, retryDelay: c.front.memory.wait(time.Now(), cost)}
 }
 
 // bodyReader reads the body of a request as long as it makes progress.
@@ -37,9 +37,9 @@
 	body    io.Reader
 	conn    *callerConn
 	control *http.ResponseController
-	// end is when the request ends, patience the time within which bodyProgress must come.
-	end      time.Time
-	patience time.Duration
+	// end is when the request ends, progressTimeout the time within which bodyProgress must come.
+	end             time.Time
+	progressTimeout time.Duration
 	// movedAt is when the deadline was last set, arrived are the bytes since.
 	movedAt time.Time
 	arrived int
@@ -48,7 +48,7 @@
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	b.arrived += n
-	if err == nil && b.arrived >= bodyProgress && time.Since(b.movedAt) >= b.patience/deadlineSteps {
+	if err == nil && b.arrived >= bodyProgress && time.Since(b.movedAt) >= b.progressTimeout/deadlineSteps {
 		err = b.moveDeadline()
 	}
 	return n, err
@@ -57,7 +57,7 @@
 func (b *bodyReader) moveDeadline() error {
 	b.movedAt, b.arrived = time.Now(), 0
 	end := b.end
-	if next := b.movedAt.Add(b.patience); b.patience > 0 && next.Before(end) {
+	if next := b.movedAt.Add(b.progressTimeout); b.progressTimeout > 0 && next.Before(end) {
 		end = next
 	}
 	if b.conn != nil {
@@ -105,7 +105,7 @@
 	}
 	control := http.NewResponseController(w)
 	reader := &bodyReader{
-		body: c.request.Body, conn: connOf(c.request), control: control, end: c.deadline, patience: c.front.limits().IdleTimeout,
+		body: c.request.Body, conn: connOf(c.request), control: control, end: c.deadline, progressTimeout: c.front.limits().IdleTimeout,
 	}
 	if err := reader.moveDeadline(); err != nil {
 		klog.ErrorS(nil, "front: read deadline not set", "request", c.id, "error", persimlog.ErrorText(err))
@@ -141,7 +141,7 @@
 	w.Header().Set("Connection", "close")
 	c.bodyEnded = true
 	if evicted {
-		return &refusal{status: http.StatusServiceUnavailable, cause: closedForProgress, retryDelay: minRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, cause: causeLeastProgress, retryDelay: minRetryAfter}
 	}
 	c.front.callerConns.count("bodies_timed_out")
 	return &refusal{status: http.StatusRequestTimeout, cause: "body too slow"}
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -238,7 +238,7 @@
 	if hasPrompt {
 		c.forwardHeader.Set(platform.HeaderPriority, c.setOrder())
 	}
-	return c.front.chargeQuota(c, demand)
+	return c.front.recordArrival(c, demand)
 }
 
 // newPlacementRequest describes a prompt to the placer.
@@ -250,11 +250,12 @@
 	return placement
 }
 
-// chargeQuota charges the cost of the request to the organisation's quota.
-func (f *front) chargeQuota(c *call, demand Demand) *refusal {
+// recordArrival counts the request in the retry budget, charges the organisation's quota and, if
+// that admits it, counts the request as demand.
+func (f *front) recordArrival(c *call, demand Demand) *refusal {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wait, ok := f.dispatcher.admit(time.Now(), c.service, c.organisation, c.cost, demand)
+	wait, ok := f.dispatcher.recordArrival(time.Now(), c.service, c.organisation, c.cost, demand)
 	if !ok {
 		return &refusal{status: http.StatusTooManyRequests, cause: "quota", retryDelay: wait}
 	}
--- a/persimfront/callerconn.go
+++ b/persimfront/callerconn.go
@@ -60,7 +60,8 @@
 	closedCause string
 	// headReserved is the memory reserved for the head that is arriving.
 	headReserved int64
-	// input is how the head or the body comes forward, output a write that is in progress.
+	// input is how the head or the body comes forward. Of output, a write in progress, only the
+	// age is measured.
 	input, output progress
 	// readingBody and writing are set while the host reads a body and while it writes.
 	readingBody, writing bool
--- a/persimfront/dispatcher.go
+++ b/persimfront/dispatcher.go
@@ -262,10 +262,10 @@
 	return budget
 }
 
-// admit counts a request in the retry budget of its service and charges its cost to the
+// recordArrival counts a request in the retry budget of its service and charges its cost to the
 // organisation's quota, if there is an organisation. Only what the quota admits is demand for
 // the service: upstreams for the rest would have nothing to do.
-func (d *dispatcher) admit(now time.Time, service, organisation string, cost float64, demand Demand) (time.Duration, bool) {
+func (d *dispatcher) recordArrival(now time.Time, service, organisation string, cost float64, demand Demand) (time.Duration, bool) {
 	d.budget(now, service).RecordRequest(now)
 	if organisation != "" {
 		if wait, ok := d.quotaLimiter.Admit(now, organisation, cost); !ok {
--- a/persimfront/dispatcher_test.go
+++ b/persimfront/dispatcher_test.go
@@ -42,7 +42,7 @@
 			retries, requests := 0, 0
 			for elapsed := time.Duration(0); elapsed < testBounds.RetryWindow; elapsed += time.Second / requestsPerSecond {
 				now := start.Add(elapsed)
-				d.admit(now, "s", "", 0, Demand{})
+				d.recordArrival(now, "s", "", 0, Demand{})
 				requests++
 				if d.budget(now, "s").Withdraw(now) {
 					retries++
@@ -65,7 +65,7 @@
 	now := start
 	for range 20 * offered {
 		now = now.Add(time.Second / offered)
-		d.admit(now, "s", "o", 1, Demand{Requests: 1, OutputTokens: 100})
+		d.recordArrival(now, "s", "o", 1, Demand{Requests: 1, OutputTokens: 100})
 	}
 	rate := d.demandRates(now)["s"]
 	require.InEpsilon(t, quota, rate.Requests, 0.2)
--- a/persimfront/evict.go
+++ b/persimfront/evict.go
@@ -13,9 +13,9 @@
 
 // Causes for which a host closes a connection or ends a phase of a request early.
 const (
-	closedForProgress = "least progress while memory is used up"
-	closedForHead     = "no memory for the head"
-	closedForOthers   = "too many connections"
+	causeLeastProgress      = "least progress while memory is used up"
+	causeNoHeadMemory       = "no memory for the head"
+	causeTooManyConnections = "too many connections"
 )
 
 const (
@@ -52,7 +52,7 @@
 	c.mu.Lock()
 	open := c.setStateLocked(connClosed)
 	if open {
-		c.closedCause = closedForHead
+		c.closedCause = causeNoHeadMemory
 	}
 	c.mu.Unlock()
 	if !open {
@@ -65,7 +65,7 @@
 		_, err = c.Conn.Write([]byte("HTTP/1.1 503 " + http.StatusText(http.StatusServiceUnavailable) +
 			"\r\nRetry-After: " + retryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 	}
-	klog.InfoS("head refused", "caller", c.RemoteAddr().String(), "status", http.StatusServiceUnavailable, "cause", closedForHead,
+	klog.InfoS("head refused", "caller", c.RemoteAddr().String(), "status", http.StatusServiceUnavailable, "cause", causeNoHeadMemory,
 		"needed", cost, "held", c.conns.memory.heldBytes(), "error", persimlog.ErrorText(err))
 }
 
@@ -88,7 +88,7 @@
 		}
 		if slowest.evict(now) {
 			cs.count("connections_evicted")
-			klog.InfoS("caller evicted", "caller", slowest.RemoteAddr().String(), "cause", closedForProgress,
+			klog.InfoS("caller evicted", "caller", slowest.RemoteAddr().String(), "cause", causeLeastProgress,
 				"bytesPerSecond", int64(least), "age", oldest, "held", cs.memory.heldBytes())
 			return true
 		}
@@ -132,13 +132,13 @@
 	c.evicted = true
 	switch {
 	case c.writing:
-		c.closedCause = closedForProgress
+		c.closedCause = causeLeastProgress
 		_ = c.Conn.SetWriteDeadline(past)
 	case c.readingBody:
 		_ = c.SetReadDeadline(past)
 	default:
 		c.setStateLocked(connClosed)
-		c.closedCause = closedForProgress
+		c.closedCause = causeLeastProgress
 		_ = c.Conn.Close()
 	}
 	return true
@@ -153,13 +153,13 @@
 	cs.count("connections_over_limit")
 	if idle := cs.longestIdle(); idle != nil && idle.closeIdle() {
 		cs.remove(idle)
-		klog.InfoS("connection closed", "caller", idle.RemoteAddr().String(), "cause", closedForOthers, "limit", cs.maxOpen)
+		klog.InfoS("connection closed", "caller", idle.RemoteAddr().String(), "cause", causeTooManyConnections, "limit", cs.maxOpen)
 		return
 	}
 	if cs.evictSlowest() {
 		return
 	}
-	klog.InfoS("connection refused", "caller", added.RemoteAddr().String(), "cause", closedForOthers, "limit", cs.maxOpen)
+	klog.InfoS("connection refused", "caller", added.RemoteAddr().String(), "cause", causeTooManyConnections, "limit", cs.maxOpen)
 	_ = added.Close()
 }
 
@@ -191,7 +191,7 @@
 		return false
 	}
 	c.setStateLocked(connClosed)
-	c.closedCause = closedForOthers
+	c.closedCause = causeTooManyConnections
 	_ = c.Conn.Close()
 	return true
 }
--- a/persimfront/rollouts.go
+++ b/persimfront/rollouts.go
@@ -29,8 +29,9 @@
 	sample uint64
 	// assignment is the last result.
 	assignment persimrollout.Assignment
-	// leftTarget is set once the request was sent to the target of a rollout in vain.
-	leftTarget bool
+	// targetFailed is set once an attempt at the target of a rollout, or a connection to it, has
+	// failed.
+	targetFailed bool
 }
 
 // sampleOf returns the hash by which a request is sampled for a rollout. It differs from the
@@ -51,15 +52,15 @@
 		return c.front.dispatcher.placer(c.service).Choose(now, c.placement)
 	}
 	triedTarget := c.version.assignment.Side == persimrollout.SideTarget && c.attempts+c.connectFailures > 0
-	c.version.leftTarget = c.version.leftTarget || triedTarget
+	c.version.targetFailed = c.version.targetFailed || triedTarget
 	c.version.assignment = rollouts.Assign(now, c.service, c.version.sample)
 	fallback, has := c.version.assignment.Fallback()
 	choice, ok := c.chooseAs(now, c.version.assignment)
-	if !has || ok && !c.version.leftTarget && choice.Expected <= maxWait {
+	if !has || ok && !c.version.targetFailed && choice.Expected <= maxWait {
 		return choice, ok
 	}
 	other, okOther := c.chooseAs(now, fallback)
-	if !okOther || ok && !c.version.leftTarget && other.Expected >= choice.Expected {
+	if !okOther || ok && !c.version.targetFailed && other.Expected >= choice.Expected {
 		return choice, ok
 	}
 	c.version.assignment = fallback
--- a/persimplace/learned.go
+++ b/persimplace/learned.go
@@ -16,12 +16,12 @@
 const maxLoadChange = 0.25
 
 const (
-	// consideredLimited is the number of limited upstreams that a request considers on
-	// average if all are limited, so that one gets at most as many times the requests of
-	// the others. notConsidered is the penalty of those that it doesn't, which is below that
-	// of having no upstream.
-	consideredLimited = 3
-	notConsidered     = time.Minute
+	// limitedCandidates is the mean number of limited upstreams among which a request chooses
+	// when all are limited. It bounds the requests of one of them to that multiple of the mean.
+	limitedCandidates = 3
+	// excludedPenalty is added to the time of those that are no candidates. They are still
+	// chosen where there is no other.
+	excludedPenalty = time.Minute
 )
 
 // freshReport is the age up to which a report is that of the response being recorded.
@@ -134,10 +134,9 @@
 }
 
 // penalty returns what is added in comparisons to the expected time at a limited upstream,
-// given the delay that each request adds and the
-// time that one runs. Requests count as if the slots were that few, and those beyond them
-// delay all others. It is no part of the expected time, so that no request is refused for
-// it.
+// given the delay that each request adds and the time that one runs. Requests count as if
+// the slots were that few, and those beyond them delay all others. It is no part of the
+// expected time, so that no request is refused for it.
 //
 // Loads of other hosts are known late, so all hosts would send to such an upstream at once
 // when it seems free. Each request therefore considers only a few of them.
@@ -149,8 +148,8 @@
 		penalty += time.Duration(over) * run
 	}
 	penalty /= time.Duration(well)
-	if p.random.Float64()*float64(len(p.sorted)) >= consideredLimited {
-		penalty += notConsidered
+	if p.random.Float64()*float64(len(p.sorted)) >= limitedCandidates {
+		penalty += excludedPenalty
 	}
 	return penalty
 }
--- a/persimrollout/advance.go
+++ b/persimrollout/advance.go
@@ -132,16 +132,18 @@
 	return time.Duration(share * float64(c.order.Duration))
 }
 
-// usable returns the number of upstreams that take requests, of the target and of the versions
-// that carry the traffic.
+// usable returns the number of upstreams that take requests, of the target and of the version
+// in use, which is the one that most of the others have.
 func (c *controller) usable(fleet Fleet) (target, carrying int) {
+	others := map[string]int{}
 	for _, u := range fleet.Upstreams {
 		switch {
 		case u.Leaving:
 		case u.Version == c.order.Target:
 			target++
 		case !slices.Contains(c.closed, u.Version):
-			carrying++
+			others[u.Version]++
+			carrying = max(carrying, others[u.Version])
 		}
 	}
 	return target, carrying
--- a/persimrollout/inuse_test.go
+++ b/persimrollout/inuse_test.go
@@ -34,3 +34,19 @@
 		})
 	}
 }
+
+// TestCapacityOfTheVersionInUse guards against a good version that is rolled back since upstreams
+// of a third version, which get no requests, count as carrying the traffic.
+func TestCapacityOfTheVersionInUse(t *testing.T) {
+	c := &controller{order: Order{Service: "s", Target: "v2"}, closed: []string{"v0"}}
+	var fleet Fleet
+	for version, count := range map[string]int{"v0": 9, "v1": 5, "v2": 4, "v3": 3} {
+		for range count {
+			fleet.Upstreams = append(fleet.Upstreams, persimcatalog.Upstream{Version: version})
+		}
+	}
+	fleet.Upstreams = append(fleet.Upstreams, persimcatalog.Upstream{Version: "v1", Leaving: true})
+	target, carrying := c.usable(fleet)
+	require.Equal(t, 4, target)
+	require.Equal(t, 5, carrying)
+}
--- a/persimrollout/report.go
+++ b/persimrollout/report.go
@@ -7,7 +7,8 @@
 const (
 	// SideAny means that there is no rollout to choose a side for.
 	SideAny Side = iota
-	// SideCurrent is the side of all versions but the target and the closed ones.
+	// SideCurrent is the side of the version in use. Versions beside it that no order names get
+	// no requests and belong to no side.
 	SideCurrent
 	// SideTarget is the side of the order's target.
 	SideTarget
--- a/persimsettings/deployment.go
+++ b/persimsettings/deployment.go
@@ -63,7 +63,8 @@
 	ExposureShare float64
 	ExposureSlack float64
 	// Rollback is the time after the 50th bad response of a version within which it must get
-	// no more requests. Disturbance is added while the store is disturbed.
+	// no more requests. Disturbance is added while the store is disturbed. No decision depends
+	// on them: reports and announcements are faster.
 	Rollback    time.Duration
 	Disturbance time.Duration
 }
