--- a/persimfront/front.go
+++ b/persimfront/front.go
@@ -341,6 +341,7 @@
 
 func (f *front) SharedState() SharedState {
 	f.expireSignals()
+	f.reportLimited()
 	f.reportAdmission()
 	f.mu.Lock()
 	defer f.mu.Unlock()
