Test of uncontrolled callers: one long input is shared by its callers

Change: the callers send the same string; what is sent, the number of callers and the bounds are the same.

--- a/cmd/persimmonport/callers_test.go
+++ b/cmd/persimmonport/callers_test.go
@@ -82,27 +82,34 @@
 	return strings.Repeat(part, size/chunk)
 }
 
-// oddRequests are requests that ask for an upgrade or carry trailers and chunk extensions.
-func oddRequests(id int) string {
+// longExtensions is a body in chunks of one byte with long extensions. All callers send the
+// same one, since one for each would take gigabytes of the test's own memory.
+var longExtensions = sync.OnceValue(func() string {
+	return chunked(bodyLimit/8, 1, ";a="+strings.Repeat("x", 1000))
+})
+
+// oddRequests are requests that ask for an upgrade or carry trailers and chunk extensions, in
+// parts that are written one after another.
+func oddRequests(id int) []string {
 	const inChunks = "Transfer-Encoding: chunked"
 	switch id % 6 {
 	case 0:
-		return inputHead(id, "Connection: Upgrade", "Upgrade: websocket", bodyPending) + "\r\n"
+		return []string{inputHead(id, "Connection: Upgrade", "Upgrade: websocket", bodyPending) + "\r\n"}
 	case 1:
-		return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + strings.Repeat("\x00\x00\x00\x04\x00", endlessInput/5)
+		return []string{"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + strings.Repeat("\x00\x00\x00\x04\x00", endlessInput/5)}
 	case 2:
-		return inputHead(id, inChunks, "Trailer: "+strings.Repeat("A,", 2000)) + "\r\n0\r\n" + strings.Repeat("A: b\r\n", endlessInput/6)
+		return []string{inputHead(id, inChunks, "Trailer: "+strings.Repeat("A,", 2000)) + "\r\n0\r\n" + strings.Repeat("A: b\r\n", endlessInput/6)}
 	case 3:
-		return inputHead(id, inChunks) + "\r\n" + chunked(bodyLimit/8, 1, ";a="+strings.Repeat("x", 1000))
+		return []string{inputHead(id, inChunks) + "\r\n", longExtensions()}
 	case 4:
-		return inputHead(id, inChunks) + "\r\n1;" + strings.Repeat("x", endlessInput)
+		return []string{inputHead(id, inChunks) + "\r\n1;" + strings.Repeat("x", endlessInput)}
 	default:
-		return inputHead(id, "Expect: 100-continue", "Connection: Upgrade", "Upgrade: h2c", "HTTP2-Settings: AAMAAABkAAQ", inChunks) + "\r\n" + chunked(bodyLimit, 64<<10, "")
+		return []string{inputHead(id, "Expect: 100-continue", "Connection: Upgrade", "Upgrade: h2c", "HTTP2-Settings: AAMAAABkAAQ", inChunks) + "\r\n" + chunked(bodyLimit, 64<<10, "")}
 	}
 }
 
-// send writes the input and keeps the connection open until open is closed.
-func send(address, input string, open <-chan struct{}) error {
+// send writes the parts of an input and keeps the connection open until open is closed.
+func send(address string, input []string, open <-chan struct{}) error {
 	conn, err := net.Dial("tcp4", address)
 	if err != nil {
 		return err
@@ -112,7 +119,11 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return err
 	}
-	_, err = io.WriteString(conn, input)
+	for _, part := range input {
+		if _, err = io.WriteString(conn, part); err != nil {
+			break
+		}
+	}
 	<-open
 	return err
 }
@@ -190,33 +201,33 @@
 func TestUncontrolledCallers(t *testing.T) {
 	cases := []struct {
 		name  string
-		input func(id int) string
+		input func(id int) []string
 	}{
-		{"many short header lines", func(id int) string {
+		{"many short header lines", func(id int) []string {
 			// Separators and line ends, half of these lines, don't count towards the limit.
-			return inputHead(id, bodyPending) + shortLines(2*(headLimit-200)) + "\r\n"
+			return []string{inputHead(id, bodyPending) + shortLines(2*(headLimit-200)) + "\r\n"}
 		}},
-		{"odd header lines", func(id int) string {
+		{"odd header lines", func(id int) []string {
 			head := inputHead(id, bodyPending)
-			return head + oddLines(headLimit-len(head)-2) + "\r\n"
+			return []string{head + oddLines(headLimit-len(head)-2) + "\r\n"}
 		}},
-		{"head over the limit", func(id int) string {
-			return inputHead(id, bodyPending) + shortLines(4*headLimit) + "\r\n"
+		{"head over the limit", func(id int) []string {
+			return []string{inputHead(id, bodyPending) + shortLines(4*headLimit) + "\r\n"}
 		}},
-		{"head without end", func(id int) string { return inputHead(id) + shortLines(endlessInput) }},
-		{"head without end, in one line", func(id int) string { return inputHead(id) + "A: " + strings.Repeat("x", endlessInput) }},
-		{"empty lines without end", func(int) string { return strings.Repeat("\r\n", endlessInput/2) }},
-		{"whole bodies", func(id int) string {
-			return inputHead(id, fmt.Sprintf("Content-Length: %d", bodyLimit)) + "\r\n" + strings.Repeat("x", bodyLimit)
+		{"head without end", func(id int) []string { return []string{inputHead(id) + shortLines(endlessInput)} }},
+		{"head without end, in one line", func(id int) []string { return []string{inputHead(id) + "A: " + strings.Repeat("x", endlessInput)} }},
+		{"empty lines without end", func(int) []string { return []string{strings.Repeat("\r\n", endlessInput/2)} }},
+		{"whole bodies", func(id int) []string {
+			return []string{inputHead(id, fmt.Sprintf("Content-Length: %d", bodyLimit)) + "\r\n" + strings.Repeat("x", bodyLimit)}
 		}},
-		{"whole bodies in chunks", func(id int) string {
-			return inputHead(id, "Transfer-Encoding: chunked") + "\r\n" + chunked(bodyLimit, 1<<10, "") + "0\r\n\r\n"
+		{"whole bodies in chunks", func(id int) []string {
+			return []string{inputHead(id, "Transfer-Encoding: chunked") + "\r\n" + chunked(bodyLimit, 1<<10, "") + "0\r\n\r\n"}
 		}},
-		{"bodies that stop short", func(id int) string {
-			return inputHead(id, fmt.Sprintf("Content-Length: %d", bodyLimit)) + "\r\n" + strings.Repeat("x", bodyLimit-1)
+		{"bodies that stop short", func(id int) []string {
+			return []string{inputHead(id, fmt.Sprintf("Content-Length: %d", bodyLimit)) + "\r\n" + strings.Repeat("x", bodyLimit-1)}
 		}},
-		{"bodies in chunks that stop short", func(id int) string {
-			return inputHead(id, "Transfer-Encoding: chunked") + "\r\n" + chunked(bodyLimit, 1<<10, "")
+		{"bodies in chunks that stop short", func(id int) []string {
+			return []string{inputHead(id, "Transfer-Encoding: chunked") + "\r\n" + chunked(bodyLimit, 1<<10, "")}
 		}},
 		{"upgrades and trailers", oddRequests},
 	}
