Tests of evictions wait until the harness's own connection has gone

Its log shows the connection of the harness accepted only after the check that none is open, so that three were open at a limit of two and one was refused. Change: the harness serves a request on that connection, closes it and waits until it is gone; the tests keep their checks.

--- a/persimfront/evict_test.go
+++ b/persimfront/evict_test.go
@@ -33,7 +33,11 @@
 	f, ok := h.front.(*front)
 	require.True(t, ok)
 	f.memory.limit, f.memory.spare, f.callerConns.maxOpen = limit, spare, maxOpen
-	require.NoError(t, serveWrapped(t, h, unchanged).Close())
+	// The connection of the harness must have come and gone before connections are counted.
+	conn := serveWrapped(t, h, unchanged)
+	requireAnswer(t, conn, bufio.NewReader(conn), requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool { return f.callerConns.size() == 0 }, time.Second, time.Millisecond)
 	return h, f
 }
 
@@ -127,8 +131,7 @@
 // TestConnectionsAboveTheLimit guards against callers that use up the descriptors: the
 // connection that has been idle longest is closed, and the new one is served.
 func TestConnectionsAboveTheLimit(t *testing.T) {
-	h, f := budgetHarness(t, 1<<20, 1<<20, 2)
-	require.Eventually(t, func() bool { return f.callerConns.size() == 0 }, time.Second, time.Millisecond)
+	h, _ := budgetHarness(t, 1<<20, 1<<20, 2)
 	first, second := h.dial(t), h.dial(t)
 	firstReader, secondReader := bufio.NewReader(first), bufio.NewReader(second)
 	requireAnswer(t, first, firstReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
@@ -143,8 +146,7 @@
 // TestUnusedConnectionsAreClosedFirst guards against ordinary connections that are closed for
 // those of callers that only connect.
 func TestUnusedConnectionsAreClosedFirst(t *testing.T) {
-	h, f := budgetHarness(t, 1<<20, 1<<20, 2)
-	require.Eventually(t, func() bool { return f.callerConns.size() == 0 }, time.Second, time.Millisecond)
+	h, _ := budgetHarness(t, 1<<20, 1<<20, 2)
 	used := h.dial(t)
 	usedReader := bufio.NewReader(used)
 	requireAnswer(t, used, usedReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
