--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -129,7 +129,7 @@
 		w.mu.Lock()
 		w.arrivals++
 		w.mu.Unlock()
-		w.record.printf("worker %s gets %s %s %s", w.id, j.id, head.Method, head.RequestURI)
+		w.record.printf("worker %s gets %s %s %s with X-Tenant %q", w.id, j.id, head.Method, head.RequestURI, head.Header.Values("X-Tenant"))
 		if target := head.Header.Get("X-Target-Instance"); target != "" && target != w.id {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", j.id)
 			continue
