--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,4 +2,4 @@
 # Runs the case from the repository's root; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/persimmonport ] && [ -x target/review-2 ] || exit 2
-exec target/review-2 last-tenant review/6/record.txt
+exec target/review-2 long-failure review/6/record.txt
