--- a/review/stand-2/host.go
+++ b/review/stand-2/host.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -130,3 +131,14 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// mostMemory returns the largest resident memory that the process has had.
+func (h *host) mostMemory() string {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.process.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	line, _, _ := strings.Cut(rest, "\n")
+	return "at most " + strings.TrimSpace(line) + " resident"
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -9,6 +9,7 @@
 
 // cases are the scripted cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(rec *record, disturb bool) (bool, error){
+	"big-config":   bigConfig,
 	"last-tenant":  lastTenant,
 	"long-failure": longFailure,
 }
--- a/review/stand-2/system.go
+++ b/review/stand-2/system.go
@@ -109,7 +109,7 @@
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": tenants,
 	})
-	s.record.printf("operator: the store has accepted version %d with tenants %v", s.version, tenants)
+	s.record.printf("operator: the store has accepted version %d with %d routes and tenants %v", s.version, len(list), tenants)
 }
 
 // startHosts starts all machines and waits until they are ready and know the workers.
