A status that denies a run is never passed on, on any way to the caller

Cause: the rule "no status that denies a run once the request was sent" stood in deliver, through which only buffered responses go, and again in the retry loop for the host's own refusals. relayUnbuffered asked neither. Ruled out: that the response was taken for a rejection, or that the refusal was the host's own (the request lines say status=503 cause="ok" attempts=1).

Change: a call counts the upstreams that may have run it, in the one place that sends. handleResponse drops an untrue response before its body is read, refusals ask the same count, and all ways out write their status through writeHead, which aborts the connection rather than send an untrue one. Long server errors are retried and counted as failures like short ones.

--- a/persimfront/attempt.go
+++ b/persimfront/attempt.go
@@ -181,6 +181,7 @@
 			klog.V(1).InfoS("attempt: connection closed after a rejection", "request", a.id, "upstream", a.upstream.ID)
 		}
 		a.finish(persimplace.OutcomeRejected)
+		a.possibleRuns--
 		return resultNotRun, nil, "upstream refused"
 	}
 	if !producedByUpstream(response.Header) {
@@ -191,6 +192,9 @@
 	}
 	a.recordResponse(time.Now())
 	a.observed.recordStatus(response.StatusCode)
+	if !a.truthful(response.StatusCode) {
+		return a.withhold(exchange)
+	}
 	return a.relay(ctx, w, exchange)
 }
 
--- a/persimfront/call.go
+++ b/persimfront/call.go
@@ -56,6 +56,8 @@
 	tried []string
 
 	attempts int
+	// possibleRuns is the number of upstreams that may have run the request.
+	possibleRuns int
 	// connectFailures counts the upstreams that could not be connected to,
 	// retriedAttempts the attempts that were followed by a retry.
 	connectFailures int
@@ -294,7 +296,7 @@
 		header.Set(platform.HeaderRequestID, c.id)
 	}
 	header.Set("Content-Length", "0")
-	w.WriteHeader(r.status)
+	c.writeHead(w, r.status)
 	if err := control.Flush(); err != nil {
 		klog.InfoS("refusal not sent", "request", c.id, "status", r.status, "cause", r.cause, "error", persimlog.ErrorText(err))
 		c.record(0, c.leftCause())
--- a/persimfront/events.go
+++ b/persimfront/events.go
@@ -31,8 +31,10 @@
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	header  http.Header
-	status  int
+	// writeHead sends the status and the header.
+	writeHead func(w http.ResponseWriter, status int)
+	header    http.Header
+	status    int
 	// headerWritten is set once the response header was written, callerGone once a
 	// write to the caller failed.
 	headerWritten bool
@@ -142,7 +144,7 @@
 	}
 	e.headerWritten = true
 	copyHeader(e.w.Header(), e.header)
-	e.w.WriteHeader(e.status)
+	e.writeHead(e.w, e.status)
 }
 
 // write sends complete events to the caller at once and records the id of the last one.
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -29,12 +29,12 @@
 	body   []byte
 }
 
-// write sends the response to the caller. It returns an error if it could not be sent.
-func (r *bufferedResponse) write(w http.ResponseWriter) error {
-	copyHeader(w.Header(), r.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	w.WriteHeader(r.status)
-	if _, err := w.Write(r.body); err != nil {
+// write sends a buffered response to the caller. It returns an error if it could not be sent.
+func (c *call) write(w http.ResponseWriter, response *bufferedResponse) error {
+	copyHeader(w.Header(), response.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	c.writeHead(w, response.status)
+	if _, err := w.Write(response.body); err != nil {
 		return err
 	}
 	return http.NewResponseController(w).Flush()
@@ -61,7 +61,7 @@
 	}
 	size := min(response.ContentLength, maxBufferedBytes+1)
 	body, err := a.held.readAll(exchange, size, maxBufferedBytes)
-	if errors.Is(err, errMemoryFull) {
+	if errors.Is(err, errMemoryFull) || err == nil && len(body) > maxBufferedBytes {
 		return a.relayUnbuffered(w, exchange, body)
 	}
 	if err != nil {
@@ -69,28 +69,18 @@
 		a.recordBreak(ctx, "response broke off", true, 0, err)
 		return resultUnknown, nil, "answer broke off"
 	}
-	if len(body) > maxBufferedBytes {
-		return a.relayUnbuffered(w, exchange, body)
-	}
 	exchange.Finish()
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	return a.deliver(w, buffered)
 }
 
 // deliver sends a buffered response to the caller. It returns a server error instead
-// of sending it, since the request may be retried, and drops a status that implies
-// that the request did not run, since it may have run.
+// of sending it, since the request may be retried.
 func (a *attempt) deliver(w http.ResponseWriter, response *bufferedResponse) (attemptResult, *bufferedResponse, string) {
-	if impliesNotRun(response.status) {
-		a.finish(persimplace.OutcomeFailed)
-		return resultUnknown, nil, "upstream refused a request that it may have run"
-	}
-	if response.status >= http.StatusInternalServerError {
-		a.finish(persimplace.OutcomeFailed)
-		return resultErrorResponse, response, "upstream failed"
+	a.finishRelayed(response.status)
+	if isServerError(response.status) {
+		return resultErrorResponse, response, causeUpstreamFailed
 	}
-	a.finish(persimplace.OutcomeSuccess)
-	a.recordSound()
 	a.send(w, response, outcomeOK)
 	return resultDone, nil, ""
 }
@@ -98,7 +88,7 @@
 // send sends a buffered response to the caller and records its status, or 0 if the caller
 // did not get it.
 func (c *call) send(w http.ResponseWriter, response *bufferedResponse, cause string) {
-	if err := response.write(w); err != nil {
+	if err := c.write(w, response); err != nil {
 		klog.InfoS("response not sent", "request", c.id, "status", response.status, "error", persimlog.ErrorText(err))
 		c.record(0, c.leftCause())
 		return
@@ -106,25 +96,21 @@
 	c.record(response.status, cause)
 }
 
-// impliesNotRun reports whether a status tells the caller that the request did not
-// run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// relayUnbuffered sends a response to the caller that is too long to be buffered;
-// prefix is the part already read.
+// relayUnbuffered sends a response to the caller that is not buffered since it is too long or
+// the memory is full; prefix is the part already read. A server error is dropped if the
+// request is retried.
 func (a *attempt) relayUnbuffered(w http.ResponseWriter, exchange *persimconn.Exchange, prefix []byte) (attemptResult, *bufferedResponse, string) {
 	response := exchange.Response
+	if isServerError(response.StatusCode) && a.reserveRetry() {
+		exchange.Abandon()
+		a.finishRelayed(response.StatusCode)
+		return resultUnknown, nil, causeUpstreamFailed
+	}
 	copyHeader(w.Header(), response.Header)
 	if response.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	w.WriteHeader(response.StatusCode)
+	a.writeHead(w, response.StatusCode)
 	a.limitWrites(w)
 	_, err := io.Copy(w, io.MultiReader(bytes.NewReader(prefix), exchange))
 	if err != nil {
@@ -133,7 +119,7 @@
 		a.abortResponse("answer broke off")
 	}
 	exchange.Finish()
-	a.finish(persimplace.OutcomeSuccess)
+	a.finishRelayed(response.StatusCode)
 	a.record(response.StatusCode, outcomeOK)
 	return resultDone, nil, ""
 }
@@ -157,12 +143,13 @@
 // breaks off is resumed at another upstream.
 func (a *attempt) relayStream(ctx context.Context, w http.ResponseWriter, exchange *persimconn.Exchange) (attemptResult, *bufferedResponse, string) {
 	writer := &eventWriter{
-		w:       w,
-		control: http.NewResponseController(w),
-		header:  exchange.Response.Header,
-		status:  exchange.Response.StatusCode,
-		onSound: a.recordSound,
-		held:    &a.held,
+		w:         w,
+		control:   http.NewResponseController(w),
+		writeHead: a.writeHead,
+		header:    exchange.Response.Header,
+		status:    exchange.Response.StatusCode,
+		onSound:   a.recordSound,
+		held:      &a.held,
 	}
 	writer.pace.record = a.recordProgress
 	moved, err := a.copyStream(writer, exchange)
--- a/persimfront/resume.go
+++ b/persimfront/resume.go
@@ -16,7 +16,7 @@
 // event. It returns nil if that is not possible. The retry of a stream that was moved is counted
 // already.
 func (a *attempt) resume(ctx context.Context, stream *eventWriter, moved bool) *persimconn.Exchange {
-	if a.attempts >= a.route.MaxAttempts || !moved && !a.mayRetry() {
+	if a.attempts >= a.route.MaxAttempts || !moved && !a.withdrawRetry() {
 		return nil
 	}
 	choice, conn := a.chooseAnother(ctx)
--- a/persimfront/run.go
+++ b/persimfront/run.go
@@ -41,6 +41,8 @@
 	// maxConnectFailures is the number of upstreams that may be unreachable for one
 	// request. Nothing is sent to them, so they do not count as attempts.
 	maxConnectFailures = 4
+	// causeUpstreamFailed is the cause of a server error of an upstream.
+	causeUpstreamFailed = "upstream failed"
 	// minRetryTime is the time before the deadline below which a retry is not worthwhile.
 	minRetryTime = 60 * time.Millisecond
 )
@@ -48,14 +50,12 @@
 // forward sends the request to one upstream after another until there is a final
 // response.
 func (c *call) forward(ctx context.Context, w http.ResponseWriter) {
-	mayHaveRun := false
 	var errorResponse *bufferedResponse
 	cause := ""
 	for c.attempts < c.route.MaxAttempts && c.connectFailures < maxConnectFailures {
-		if c.attempts > c.retriedAttempts && !c.mayRetry() {
+		if !c.mayRetry() {
 			break
 		}
-		c.retriedAttempts = c.attempts
 		choice, refused := c.chooseUpstream()
 		if refused != nil {
 			cause = refused.cause
@@ -71,30 +71,29 @@
 		if result == resultDone {
 			return
 		}
-		mayHaveRun = mayHaveRun || result != resultNotRun
 		if response != nil {
 			errorResponse = response
 		}
-		if ctx.Err() != nil || mayHaveRun && !c.route.Repeatable() || c.crashedUpstream(ctx) {
+		if ctx.Err() != nil || c.mayHaveRun() && !c.route.Repeatable() || c.crashedUpstream(ctx) {
 			break
 		}
 	}
-	c.respondError(ctx, w, errorResponse, mayHaveRun, cause)
+	c.respondError(ctx, w, errorResponse, cause)
 }
 
 // respondError responds after the attempts have failed: with the last server error
 // of an upstream if there is one, otherwise with a refusal. It aborts the connection
 // if the caller has left.
-func (c *call) respondError(ctx context.Context, w http.ResponseWriter, errorResponse *bufferedResponse, mayHaveRun bool, cause string) {
+func (c *call) respondError(ctx context.Context, w http.ResponseWriter, errorResponse *bufferedResponse, cause string) {
 	switch {
 	case c.request.Context().Err() != nil:
 		c.record(0, c.leftCause())
 		panic(http.ErrAbortHandler)
 	case errorResponse != nil:
-		c.send(w, errorResponse, "upstream failed")
-	case ctx.Err() != nil && (mayHaveRun || c.front.aborted.Err() == nil):
+		c.send(w, errorResponse, causeUpstreamFailed)
+	case ctx.Err() != nil && (c.mayHaveRun() || c.front.aborted.Err() == nil):
 		c.refuse(w, refusal{status: http.StatusGatewayTimeout, cause: c.endCause() + ": " + cause})
-	case mayHaveRun:
+	case c.mayHaveRun():
 		c.refuse(w, refusal{status: http.StatusBadGateway, cause: cause})
 	default:
 		c.refund()
@@ -124,9 +123,28 @@
 	return "time is over"
 }
 
-// mayRetry counts a retry in the budget. It reports false if the budget is
-// used up or too little time is left.
+// mayRetry reports whether another attempt may begin. One that follows an attempt is a retry,
+// which is counted in the budget once.
 func (c *call) mayRetry() bool {
+	if c.attempts == c.retriedAttempts {
+		return true
+	}
+	if !c.withdrawRetry() {
+		return false
+	}
+	c.retriedAttempts = c.attempts
+	return true
+}
+
+// reserveRetry counts a retry before it is known to be needed. It reports false if the request
+// may not be sent to another upstream.
+func (c *call) reserveRetry() bool {
+	return c.route.Repeatable() && c.attempts < c.route.MaxAttempts && c.mayRetry()
+}
+
+// withdrawRetry counts a retry in the budget. It reports false if the budget is
+// used up or too little time is left.
+func (c *call) withdrawRetry() bool {
 	if time.Until(c.deadline) < minRetryTime {
 		return false
 	}
--- a/persimfront/signals.go
+++ b/persimfront/signals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -13,11 +14,14 @@
 	"persimmonport.example/platform"
 )
 
-// exchange sends the request to an upstream and records what the upstream asks for in its
-// response.
+// exchange sends the request to an upstream, which may run it from then on, and records what the
+// upstream asks for in its response.
 func (c *call) exchange(ctx context.Context, conn *persimconn.Conn, upstream persimcatalog.Upstream, req *http.Request) (*persimconn.Exchange, error) {
 	sentAt := time.Now()
 	exchange, err := persimconn.Send(ctx, conn, req)
+	if !errors.Is(err, persimconn.ErrNotSent) {
+		c.possibleRuns++
+	}
 	if err != nil {
 		return nil, err
 	}
