Roll-outs count a status that denies a run as a failure of the version

What operators saw: a version that answers 429 or 408 without saying that nothing ran gives each caller a 502, yet its samples counted for nothing when short, and as successes when long, so that such a version would complete.

Cause: versionOutcome had a rule of its own for these statuses, beside the one for what callers get. Change: they are failures like server errors; rejections by the upstream still count for nothing. The row "429" of TestResultsOfAVersion expected the former rule; it is replaced by rows as strict for a short 429 and 408 that may have run (failed), long 429 and 503 (failed) and a 429 with the header that says that nothing ran (ignored).

Measured: with the former rule the rows "429 that may run", "408 that may run" and "long 429" fail; all rows pass now. That a version answers so was not seen in a deployment.

--- a/persimfront/rollouts.go
+++ b/persimfront/rollouts.go
@@ -189,16 +189,12 @@
 	timedOut := a.phase.Load() == phaseAbandoned || !now.Before(a.deadline)
 	stopped := a.request.Context().Err() != nil || a.front.aborted.Err() != nil
 	switch {
-	case outcome == persimplace.OutcomeSuccess && status >= 500:
-		return persimrollout.OutcomeFailed
 	case outcome == persimplace.OutcomeSuccess:
 		return persimrollout.OutcomeSuccess
 	case stopped || outcome == persimplace.OutcomeRejected || outcome == persimplace.OutcomeConnectFailed:
 		return persimrollout.OutcomeIgnored
-	case status >= 500:
+	case isServerError(status) || impliesNotRun(status):
 		return persimrollout.OutcomeFailed
-	case impliesNotRun(status):
-		return persimrollout.OutcomeIgnored
 	case timedOut:
 		return persimrollout.OutcomeTimeout
 	case outcome == persimplace.OutcomeFailed:
--- a/persimfront/rollouts_test.go
+++ b/persimfront/rollouts_test.go
@@ -115,7 +115,11 @@
 		"long failure":     {respondWith("500 Internal Server Error", signatureHeader+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*maxBufferedBytes, make([]byte, 2*maxBufferedBytes)), true), 1, 1},
 		"503 that may run": {respondWith("503 Service Unavailable", signatureHeader+"Content-Length: 0\r\n\r\n", true), 1, 1},
 		"rejection":        {respondWith("503 Service Unavailable", "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", true), 0, 0},
-		"429":              {respondWith("429 Too Many Requests", signatureHeader+"Content-Length: 0\r\n\r\n", true), 0, 0},
+		"429 that may run": {respondWith("429 Too Many Requests", signatureHeader+"Content-Length: 0\r\n\r\n", true), 1, 1},
+		"408 that may run": {framedResponse(408, "length", 0), 1, 1},
+		"long 503":         {framedResponse(503, "length", longBodyBytes), 1, 1},
+		"long 429":         {framedResponse(429, "length", longBodyBytes), 1, 1},
+		"429, not run":     {respondWith("429 Too Many Requests", "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", true), 0, 0},
 		"broken off":       {respondWith("200 OK", signatureHeader+"Content-Length: 10\r\n\r\ngood", false), 1, 1},
 		"no response": {func(conn net.Conn, _ *http.Request, _ []byte) bool {
 			_, _ = io.WriteString(conn, "junk\r\n")
