A response that ends HTTP on its connection is no response

Cause: readHead took 101 for a final response, though hosts forward no request for an upgrade. Ruled out: other interim responses, which are skipped and limited already.

--- a/persimfront/answer_test.go
+++ b/persimfront/answer_test.go
@@ -203,3 +203,18 @@
 		}
 	}
 }
+
+// TestUpgradeIsNoResponse guards against a status that ends HTTP on a connection: the request
+// asked for no other protocol.
+func TestUpgradeIsNoResponse(t *testing.T) {
+	for path, status := range map[string]int{"/safe/": 200, "/unsafe/": 502, "/stream/": 502, "/resumed/": 200} {
+		t.Run(path, func(t *testing.T) {
+			first := newFakeUpstream(t, "w1", respondWith("101 Switching Protocols", signatureHeader+"Upgrade: x\r\nConnection: Upgrade\r\n\r\n", true))
+			second := newFakeUpstream(t, "w2", respondOK())
+			h := newHarness(t, first)
+			resp, _, err := h.getPreferringFirst(t, path, first, second)
+			require.NoError(t, err)
+			require.Equal(t, status, resp.StatusCode)
+		})
+	}
+}
