Calls that a service may have run are never refused as not run

Ruled out: calls that run at most once, which are not sent again. Change: a call remembers that it may have run, and all its refusals go through one function. A call that every service rejected is "not run" whatever the number of attempts.

--- a/calls.go
+++ b/calls.go
@@ -60,6 +60,8 @@
 	claim        persimledger.Claim
 	claimed      bool
 	attemptCount int
+	// mayHaveRun is set once a service may have run the call.
+	mayHaveRun bool
 	// duplicate is set when the answer comes from an earlier call with the same key.
 	duplicate atomic.Bool
 }
@@ -244,17 +246,27 @@
 				return
 			}
 		case refusal := <-c.sub.refusals:
-			c.refuseNotRun(policyRefusal(refusal))
+			c.refuse(policyRefusal(refusal))
 			return
 		case <-ctx.Done():
-			c.refuseNotRun(notRunRefusal(persimwire.Reason_REASON_DEADLINE, "the caller's patience has ended"))
+			c.refuse(notRunRefusal(persimwire.Reason_REASON_DEADLINE, "the caller's patience has ended"))
 			return
 		}
 	}
 }
 
-// refuseNotRun refuses a call that was not sent, or that every upstream refused
-// before running it.
+// refuse refuses a call. Its outcome is "not run" only if it was not sent, or every upstream
+// refused it before running it.
+func (c *callRunner) refuse(refusal *persimwire.Refusal) {
+	if !c.mayHaveRun {
+		c.refuseNotRun(refusal)
+		return
+	}
+	refusal.Outcome = persimwire.Outcome_OUTCOME_UNKNOWN
+	c.flight.Refuse(refusal)
+}
+
+// refuseNotRun refuses a call that no upstream has run, unless another request with its key has.
 func (c *callRunner) refuseNotRun(refusal *persimwire.Refusal) {
 	if c.claimed {
 		c.host.ledger.RecordOutcome(c.claim.WithState(persimledger.StateNotRun))
@@ -294,15 +306,16 @@
 		return true
 	case errors.Is(err, persimupstream.ErrNotRun):
 		c.scheduler.endAttempt(d.Attempt, persimpolicy.ResultFailed)
-		return c.retry(d, true)
+		return c.retry(d)
 	case errors.Is(err, persimupstream.ErrRejected):
 		c.scheduler.endAttempt(d.Attempt, persimpolicy.ResultCancelled)
 		c.recordOutcome(persimledger.StateDone)
 		c.flight.Refuse(unknownOutcomeRefusal(persimwire.Reason_REASON_INVALID, "the service rejected the call"))
 		return true
 	default:
+		c.mayHaveRun = true
 		c.scheduler.endAttempt(d.Attempt, persimpolicy.ResultFailed)
-		return c.retry(d, false)
+		return c.retry(d)
 	}
 }
 
@@ -315,20 +328,17 @@
 
 // retry queues another attempt and returns false, or ends the call and returns
 // true. A call that must run at most once is retried only if it has provably not run.
-func (c *callRunner) retry(d persimpolicy.Dispatch, provenNotRun bool) bool {
-	if c.atMostOnce && !provenNotRun {
-		c.flight.Refuse(unknownOutcomeRefusal(persimwire.Reason_REASON_UPSTREAM, "the service did not answer"))
-		return true
-	}
+func (c *callRunner) retry(d persimpolicy.Dispatch) bool {
 	c.job = c.job.WithAvoid(d.Upstream.Address)
-	if c.attemptCount < c.job.Profile.MaxAttempts && c.scheduler.requeue(c.job, false) {
+	mayRepeat := !c.atMostOnce || !c.mayHaveRun
+	if mayRepeat && c.attemptCount < c.job.Profile.MaxAttempts && c.scheduler.requeue(c.job, false) {
 		return false
 	}
-	if provenNotRun && (c.atMostOnce || c.attemptCount == 1) {
-		c.refuseNotRun(notRunRefusal(persimwire.Reason_REASON_UPSTREAM, "no upstream took the call"))
-		return true
+	message := "no upstream took the call"
+	if c.mayHaveRun {
+		message = "the service did not answer"
 	}
-	c.flight.Refuse(unknownOutcomeRefusal(persimwire.Reason_REASON_UPSTREAM, "the service did not answer"))
+	c.refuse(notRunRefusal(persimwire.Reason_REASON_UPSTREAM, message))
 	return true
 }
 
