A model request that moved is not refused as not run

What callers of persimmonport serve saw: the outcome "not run" for a request that an engine had begun when it moved to another host, if that host refused it.

Cause: the new owner took a request for unsent unless its state names a stream, which is written with the first token. Ruled out: the relay, which passes on the owner's outcome. Change: a request that had another owner may have run there. The safe side: one that moved while it waited gets an unknown outcome too.

Measured, virtual time: TestModelRequestThatMovedIsNotDenied fails before for a handover and for a takeover, and passes now.

--- a/outcome_test.go
+++ b/outcome_test.go
@@ -15,6 +15,8 @@
 const (
 	// callPatience is how long the callers of these tests wait.
 	callPatience = 5 * time.Second
+	// engineSlowdown lets an engine generate its first token after some 40 s.
+	engineSlowdown = 2e5
 )
 
 // sendCall sends a call and returns its refusal, or nil if it was answered.
@@ -77,3 +79,42 @@
 		})
 	}
 }
+
+// TestModelRequestThatMovedIsNotDenied guards against a request that an engine has begun without a
+// token, that moves to another host, and whose caller is then told that it did not run.
+func TestModelRequestThatMovedIsNotDenied(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		move func(e *entry)
+	}{
+		{"handover", func(e *entry) { e.host.Drain() }},
+		{"takeover", func(e *entry) { e.kill() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, defaultDeploymentConfig())
+				defer d.close()
+				d.waitReady()
+				for _, engine := range d.engines {
+					engine.SetFault(persimstand.Fault{SlowFactor: engineSlowdown})
+				}
+				first := d.entries[0]
+				time.AfterFunc(time.Second, func() {
+					c.move(first)
+					for _, engine := range d.engines {
+						require.Zero(t, engine.Stats().Generated)
+						engine.SetFault(persimstand.Fault{Down: true})
+					}
+				})
+				r := d.readStream(0, "match len=10", 3*time.Minute)
+				streams := 0
+				for _, engine := range d.engines {
+					streams += engine.Stats().Streams
+				}
+				require.Positive(t, streams)
+				require.NotNil(t, r.refusal)
+				require.Equal(t, persimwire.Outcome_OUTCOME_UNKNOWN, r.refusal.GetOutcome(), r.refusal.GetMessage())
+			})
+		})
+	}
+}
--- a/runner.go
+++ b/runner.go
@@ -70,6 +70,9 @@
 	hasTokens bool
 	// ran is set once an attempt may have run.
 	ran bool
+	// continued is set if the request had another owner before, at which an attempt may have
+	// run before its first token.
+	continued bool
 	// cacheHandle is the handle of the cache last exported from a reclaimed upstream, or "".
 	cacheHandle string
 }
@@ -119,6 +122,7 @@
 	r := h.newModelRunner(f, job, sched, sched.register(job))
 	r.lastAttemptNumber = int(state.GetAttempt())
 	r.ran = state.GetUpstream() != ""
+	r.continued = true
 	r.hasTokens = len(state.GetTokens()) > 0
 	go r.continueFrom(state)
 }
@@ -357,7 +361,7 @@
 func (r *modelRunner) mayHaveRun() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ran
+	return r.ran || r.continued
 }
 
 // refuse ends the request. Its outcome is "not run" only if no attempt may have run.
