Heads of responses count in the memory of the host

Bytes without end, first finding: 100 requests to an upstream that sends 60 KiB of short header lines and stalls take 98 MB of heap; the smallest hosts have 136 MB.

Cause: the head of a response was bounded in bytes, not in the memory that its lines take once parsed, and not for all requests together. Ruled out: the bytes themselves and the buffers, which come to a tenth. Change: heads are reserved while they are read, as those of callers are; ordinary ones always have room, one that takes over 256 KiB ends the exchange.

TestResponseHeadIsHeldWhileItLasts covers room, release and refusal.

--- a/persimconn/head.go
+++ b/persimconn/head.go
@@ -20,14 +20,24 @@
 	// still have.
 	inHead bool
 	left   int
+	// reserve is called with each part of a head, or nil.
+	reserve func(part []byte) error
 }
 
+// ReserveHead sets a function that is called with each part of the head of the next response
+// before that is parsed, and that ends the exchange by an error. A part may end with the first
+// bytes of the body.
+func (c *Conn) ReserveHead(reserve func(part []byte) error) { c.head.reserve = reserve }
+
 func (l *headLimiter) begin() {
 	l.inHead = true
 	l.left = maxHeadBytes
 }
 
-func (l *headLimiter) end() { l.inHead = false }
+func (l *headLimiter) end() {
+	l.inHead = false
+	l.reserve = nil
+}
 
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.inHead {
@@ -38,5 +48,10 @@
 	}
 	n, err := l.from.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if n > 0 && l.reserve != nil {
+		if errReserve := l.reserve(p[:n]); errReserve != nil {
+			return 0, errReserve
+		}
+	}
 	return n, err
 }
--- a/persimfront/attempt.go
+++ b/persimfront/attempt.go
@@ -126,6 +126,11 @@
 		return resultUnknown, nil, "caller left"
 	}
 	a.countUsage()
+	if errors.Is(err, errMemoryFull) {
+		// The memory is used up by others; the upstream has not failed.
+		a.finish(persimplace.OutcomeNeutral)
+		return resultUnknown, nil, causeNoHeadMemory
+	}
 	cause := "connection broke"
 	if a.phase.Load() == phaseAbandoned {
 		cause = "upstream is silent"
--- a/persimfront/connections.go
+++ b/persimfront/connections.go
@@ -243,8 +243,13 @@
 // headerBytes returns the size of a request's method, target, host and header fields,
 // without separators and line ends.
 func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
+	return len(r.Method) + len(r.RequestURI) + len(r.Host) + fieldBytes(r.Header)
+}
+
+// fieldBytes returns the size of header fields without separators and line ends.
+func fieldBytes(header http.Header) int {
+	size := 0
+	for name, values := range header {
 		for _, value := range values {
 			size += len(name) + len(value)
 		}
--- a/persimfront/endless_test.go
+++ b/persimfront/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -125,3 +126,36 @@
 	require.Eventually(t, func() bool { return h.front.InFlight() == 1 }, routeTimeout, time.Millisecond)
 	require.Eventually(t, func() bool { return h.front.InFlight() == 0 }, 3*routeTimeout, 10*time.Millisecond)
 }
+
+// TestManyHeadsOfShortLinesNeedLittleMemory guards the smallest machines against heads of responses
+// within the limit whose lines take many times their size once they are parsed.
+func TestManyHeadsOfShortLinesNeedLittleMemory(t *testing.T) {
+	const (
+		callers        = 100
+		maxMemoryBytes = 64 << 20
+	)
+	for _, lines := range []int{500, 9000} {
+		t.Run(fmt.Sprint(lines), func(t *testing.T) {
+			head := uniqueLines(lines)
+			respond := func(conn net.Conn, req *http.Request, body []byte) bool {
+				respondWith("200 OK", head, true)(conn, req, body)
+				_, _ = io.Copy(io.Discard, conn)
+				return false
+			}
+			memory := []Option{WithBodyMemory(maxMemoryBytes / 2), WithSpareMemory(maxMemoryBytes / 8)}
+			h := newHarnessWith(t, memory, newFakeUpstream(t, "w1", respond))
+			before := heapBytes()
+			for range callers {
+				conn := h.dial(t)
+				_, err := io.WriteString(conn, requestHead("POST", "/stream/")+"Content-Length: 0\r\n\r\n")
+				require.NoError(t, err)
+			}
+			for range 5 {
+				time.Sleep(100 * time.Millisecond)
+				took := heapBytes() - before
+				t.Logf("%d requests in progress, %d KB", h.front.InFlight(), took>>10)
+				require.Less(t, took, int64(maxMemoryBytes))
+			}
+		})
+	}
+}
--- a/persimfront/headcost_test.go
+++ b/persimfront/headcost_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -90,3 +92,54 @@
 		require.LessOrEqual(t, requestCost(request), reserved, "%d bytes of body", len(body))
 	})
 }
+
+// TestResponseHeadIsHeldWhileItLasts guards against heads of responses that are not counted, that
+// stay counted after the request, and against ordinary ones that are dropped for lack of memory.
+func TestResponseHeadIsHeldWhileItLasts(t *testing.T) {
+	ordinary := signatureHeader + strings.Repeat("Name: value\r\n", 12)
+	for name, test := range map[string]struct {
+		lines string
+		full  bool
+		// refused is set if the response is dropped.
+		refused bool
+	}{
+		"ordinary":                 {lines: ordinary},
+		"ordinary, memory full":    {lines: ordinary, full: true},
+		"long line":                {lines: signatureHeader + "A: " + strings.Repeat("x", 50<<10) + "\r\n"},
+		"long line, memory full":   {lines: signatureHeader + "A: " + strings.Repeat("x", 50<<10) + "\r\n", full: true, refused: true},
+		"many lines":               {lines: signatureHeader + uniqueLines(500)},
+		"many lines, memory full":  {lines: signatureHeader + uniqueLines(500), full: true, refused: true},
+		"too many lines":           {lines: signatureHeader + uniqueLines(1000), refused: true},
+		"too many lines, one name": {lines: signatureHeader + strings.Repeat("a:\r\n", 1000), refused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			upstream := newFakeUpstream(t, "w1", func(conn net.Conn, req *http.Request, body []byte) bool {
+				respondWith("200 OK", test.lines+"Content-Length: 4\r\n\r\n", true)(conn, req, body)
+				<-proceed
+				_, err := io.WriteString(conn, "good")
+				return err == nil
+			})
+			h := newHarness(t, upstream)
+			f, ok := h.front.(*front)
+			require.True(t, ok)
+			filled := int64(0)
+			if test.full {
+				filled = f.memory.limit
+				f.memory.add(filled)
+			}
+			conn := h.dial(t)
+			_, err := io.WriteString(conn, requestHead("POST", "/unsafe/")+"Content-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+			if !test.refused {
+				want := filled + int64(strings.Count(test.lines, "\n"))*headLineCost
+				require.Eventually(t, func() bool { return f.memory.heldBytes() >= want }, time.Second, time.Millisecond)
+			}
+			close(proceed)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, test.refused, resp.StatusCode == http.StatusBadGateway, resp.StatusCode)
+			require.Eventually(t, func() bool { return f.memory.heldBytes() == filled && f.InFlight() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
--- a/persimfront/signals.go
+++ b/persimfront/signals.go
@@ -18,13 +18,17 @@
 // upstream asks for in its response.
 func (c *call) exchange(ctx context.Context, conn *persimconn.Conn, upstream persimcatalog.Upstream, req *http.Request) (*persimconn.Exchange, error) {
 	sentAt := time.Now()
+	head := responseHead{held: &c.held}
+	conn.ReserveHead(head.reserve)
 	exchange, err := persimconn.Send(ctx, conn, req)
 	if !errors.Is(err, persimconn.ErrNotSent) {
 		c.possibleRuns++
 	}
 	if err != nil {
+		head.settle(nil)
 		return nil, err
 	}
+	head.settle(exchange.Response)
 	c.recordSignals(sentAt, upstream.Incarnation, exchange.Response)
 	return exchange, nil
 }
