Messages of other hosts are bounded together, and cut ones are errors

A message over 4 MiB was cut at the limit and could pass for a whole one.

Cause: io.LimitReader on each stream bounds one message, and its end looks like that of the stream. Ruled out: the windows of QUIC, 15 MB a connection. Change: room is reserved as bytes come (golang.org/x/sync/semaphore), for all connections and for each; too long is an error; a stream that failed takes in no more; smaller windows.

TestMessageThatIsTooLongIsAnError fails before and passes now.

--- a/persimexchange/links.go
+++ b/persimexchange/links.go
@@ -3,16 +3,16 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
-	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"persimmonport.example/persimkeys"
+	"persimmonport.example/persimlog"
 	"persimmonport.example/persimwire"
 )
 
@@ -24,11 +24,13 @@
 	serveTimeout = 1500 * time.Millisecond
 	// DefaultHandshakeTimeout limits the QUIC handshake of a connection.
 	DefaultHandshakeTimeout = 600 * time.Millisecond
-	// maxMessageBytes is the largest message accepted; a configuration has at most 1 MB.
-	maxMessageBytes = 4 << 20
 	// maxIncomingStreams is the number of concurrent requests accepted on one connection.
 	maxIncomingStreams = 256
-	alpnProtocol       = "persim-exchange"
+	// maxStreamWindow and maxConnWindow bound what another host may send, in bytes, before it is
+	// read.
+	maxStreamWindow = 1 << 20
+	maxConnWindow   = 4 << 20
+	alpnProtocol    = "persim-exchange"
 )
 
 // Handler returns the state of this host in response to the state of another.
@@ -48,6 +50,7 @@
 type links struct {
 	identity  persimkeys.SharedIdentity
 	transport *quic.Transport
+	memory    readMemory
 
 	mu    sync.Mutex
 	conns map[string]*quic.Conn
@@ -63,7 +66,7 @@
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	l := &links{identity: identity, transport: &quic.Transport{Conn: udpConn}, conns: map[string]*quic.Conn{}}
+	l := &links{identity: identity, transport: &quic.Transport{Conn: udpConn}, memory: newReadMemory(), conns: map[string]*quic.Conn{}}
 	cleanup := func() {
 		_ = l.transport.Close()
 		_ = udpConn.Close()
@@ -73,9 +76,11 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout: DefaultHandshakeTimeout,
-		MaxIdleTimeout:       DefaultIdleTimeout,
-		MaxIncomingStreams:   maxIncomingStreams,
+		HandshakeIdleTimeout:       DefaultHandshakeTimeout,
+		MaxIdleTimeout:             DefaultIdleTimeout,
+		MaxIncomingStreams:         maxIncomingStreams,
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnWindow,
 	}
 }
 
@@ -84,7 +89,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	response, err := roundTrip(ctx, conn, request)
+	response, err := l.roundTrip(ctx, conn, request)
 	if err != nil {
 		l.closeConn(address, conn)
 		return nil, trace.Wrap(err)
@@ -135,7 +140,7 @@
 }
 
 // roundTrip sends a request on a new stream and reads the response.
-func roundTrip(ctx context.Context, conn *quic.Conn, request *persimwire.Exchange) (*persimwire.Exchange, error) {
+func (l *links) roundTrip(ctx context.Context, conn *quic.Conn, request *persimwire.Exchange) (*persimwire.Exchange, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -149,27 +154,7 @@
 	if err := writeMessage(stream, request); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return readMessage(stream)
-}
-
-func writeMessage(stream *quic.Stream, message *persimwire.Exchange) error {
-	data, err := proto.Marshal(message)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if _, err := stream.Write(data); err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(stream.Close())
-}
-
-func readMessage(stream *quic.Stream) (*persimwire.Exchange, error) {
-	data, err := io.ReadAll(io.LimitReader(stream, maxMessageBytes))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	message := &persimwire.Exchange{}
-	return message, trace.Wrap(proto.Unmarshal(data, message))
+	return readMessage(stream, l.memory)
 }
 
 func (l *links) Serve(ctx context.Context, handle Handler) error {
@@ -186,26 +171,28 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		go serveConn(ctx, conn, handle)
+		go serveConn(ctx, conn, l.memory.forConn(), handle)
 	}
 }
 
-func serveConn(ctx context.Context, conn *quic.Conn, handle Handler) {
+func serveConn(ctx context.Context, conn *quic.Conn, memory readMemory, handle Handler) {
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return
 		}
-		go serveStream(stream, handle)
+		go serveStream(stream, memory, handle)
 	}
 }
 
 // serveStream handles one request. An error resets the stream, which the requesting
-// host sees.
-func serveStream(stream *quic.Stream, handle Handler) {
+// host sees, and nothing more of it is taken in.
+func serveStream(stream *quic.Stream, memory readMemory, handle Handler) {
+	defer stream.CancelRead(0)
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
-	request, err := readMessage(stream)
+	request, err := readMessage(stream, memory)
 	if err != nil {
+		klog.V(1).InfoS("exchange: request not read", "error", persimlog.ErrorText(err))
 		stream.CancelWrite(0)
 		return
 	}
