Heads and events of upstreams behind persimmonport serve are bounded

Cause: the client of upstreams set limits on bodies only; that of the platform had one on heads. Ruled out: bodies, which end at 4 MiB. Change: heads and lines end at 64 KiB; an event holds one token.

--- a/persimupstream/upstream.go
+++ b/persimupstream/upstream.go
@@ -49,9 +49,12 @@
 	DefaultSilenceTimeout    = 3 * time.Second
 	// DefaultCallTimeout is the timeout of the engine calls other than Generate and
 	// Attach.
-	DefaultCallTimeout  = time.Second
-	maxBodyBytes        = 4 << 20
-	maxLineBytes        = 1 << 20
+	DefaultCallTimeout = time.Second
+	maxBodyBytes       = 4 << 20
+	// maxLineBytes limits a line of an event stream, which holds one token.
+	maxLineBytes = 64 << 10
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes        = 64 << 10
 	maxIdleConnsPerHost = 64
 )
 
@@ -103,6 +106,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		// The default allows 10 MB.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
