An answer has no more tokens and text than were asked for

Cause: nothing compared the tokens of an answer with the number that was asked for. Ruled out: the watchdog on silence, which tokens reset. Change: an attempt that exceeds the requested number, or that of the settings, or 64 bytes a token on average, fails like one that breaks off.

--- a/attempt.go
+++ b/attempt.go
@@ -64,16 +64,16 @@
 		CacheHandle: r.importCache(ctx, d.Upstream.Address),
 	}
 	emitted := prior
+	limit := newAnswerLimit(state, r.host.settings.Limits.MaxTokens)
 	_, err := r.host.engine.Generate(ctx, d.Upstream.Address, request, func(index int, text string) error {
 		if index == prior && !r.selectWinner(d, attemptNumber) {
 			return errSuperseded
 		}
-		if !r.flight.Append(attemptNumber, index, text) {
-			return errSuperseded
+		if err := r.keepToken(limit, attemptNumber, index, text); err != nil {
+			return err
 		}
 		emitted = index + 1
 		r.scheduler.progress(d.Attempt)
-		r.recordToken()
 		return nil
 	})
 	if err != nil {
@@ -132,6 +132,20 @@
 	return names
 }
 
+// keepToken adds a token of an attempt to the answer. It returns errAnswerTooLong if the answer may
+// not have it, and errSuperseded if the attempt is not the current one.
+func (r *modelRunner) keepToken(limit *answerLimit, attemptNumber, index int, text string) error {
+	if err := limit.add(index, text); err != nil {
+		klog.Warningf("runner: request %s: %v", r.job.ID, err)
+		return err
+	}
+	if !r.flight.Append(attemptNumber, index, text) {
+		return errSuperseded
+	}
+	r.recordToken()
+	return nil
+}
+
 // recordToken records the time to the first token or since the previous one.
 func (r *modelRunner) recordToken() {
 	r.mu.Lock()
--- a/runner.go
+++ b/runner.go
@@ -155,12 +155,12 @@
 	defer unregister()
 	from := len(state.GetTokens())
 	emitted := from
+	limit := newAnswerLimit(state, r.host.settings.Limits.MaxTokens)
 	_, err := r.host.engine.Attach(ctx, state.GetUpstream(), state.GetStream(), from, func(index int, text string) error {
-		if !r.flight.Append(attemptNumber, index, text) {
-			return errSuperseded
+		if err := r.keepToken(limit, attemptNumber, index, text); err != nil {
+			return err
 		}
 		emitted = index + 1
-		r.recordToken()
 		return nil
 	})
 	if err == nil {
