Heads of other hosts behind persimmonport serve are bounded

Bytes without end: the heads of requests and responses between hosts could take 1 and 10 MB, the defaults of quic-go's HTTP/3.

--- a/persimpeer/peer.go
+++ b/persimpeer/peer.go
@@ -25,6 +25,8 @@
 	maxStreamsPerLink        = 4096
 	// MaxMessageBytes is the maximum size of a message that a host accepts from another.
 	MaxMessageBytes = 8 << 20
+	// maxHeadBytes limits the heads of requests and responses; the defaults allow 1 and 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 type config struct {
@@ -95,7 +97,11 @@
 	if existing, ok := l.links[address]; ok {
 		return existing.client
 	}
-	transport := &http3.Transport{TLSClientConfig: l.certificates.ClientConfig(), QUICConfig: l.quicConfig()}
+	transport := &http3.Transport{
+		TLSClientConfig:        l.certificates.ClientConfig(),
+		QUICConfig:             l.quicConfig(),
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	client := persimwire.NewPeerServiceClient(
 		&http.Client{Transport: transport},
 		"https://"+address,
@@ -134,9 +140,10 @@
 		return trace.Wrap(err)
 	}
 	server := &http3.Server{
-		Handler:    handler,
-		TLSConfig:  l.certificates.ServerConfig(),
-		QUICConfig: l.quicConfig(),
+		Handler:        handler,
+		TLSConfig:      l.certificates.ServerConfig(),
+		QUICConfig:     l.quicConfig(),
+		MaxHeaderBytes: maxHeadBytes,
 	}
 	stop := context.AfterFunc(ctx, func() {
 		_ = server.Close()
--- a/persimpeer/peer_test.go
+++ b/persimpeer/peer_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,6 +114,43 @@
 	})
 }
 
+// TestLongHeadsAreErrors guards the memory of a host against heads without end of another one.
+func TestLongHeadsAreErrors(t *testing.T) {
+	for _, size := range []int{0, 2 * maxHeadBytes} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			certificates := newSource(t, newAuthority(t), "entry-0")
+			address := freeAddress(t)
+			var heads atomic.Int64
+			server, cleanup := New(certificates)
+			ctx, cancel := context.WithCancel(t.Context())
+			served := make(chan error, 1)
+			_, handler := persimwire.NewPeerServiceHandler(exchangeRecorder{senders: make(chan string, 16)})
+			go func() {
+				served <- server.Serve(ctx, address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					heads.Add(int64(len(r.Header.Get("Long"))))
+					w.Header().Set("Long", strings.Repeat("x", size))
+					handler.ServeHTTP(w, r)
+				}))
+			}()
+			t.Cleanup(func() {
+				cancel()
+				require.NoError(t, <-served)
+				cleanup()
+			})
+			links, closeLinks := New(certificates)
+			defer closeLinks()
+			require.Equal(t, size > 0, exchange(t, links, address, "entry-1") != nil, "head of a response")
+			call := connect.NewRequest(&persimwire.ExchangeRequest{From: "entry-1"})
+			call.Header().Set("Long", strings.Repeat("x", size))
+			callCtx, cancelCall := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancelCall()
+			_, err := links.Client(address).Exchange(callCtx, call)
+			require.Equal(t, size > 0, err != nil)
+			require.Zero(t, heads.Load(), "head of a request")
+		})
+	}
+}
+
 func TestReloadedCertificatesAreUsed(t *testing.T) {
 	folder := newAuthority(t)
 	source := newSource(t, folder, "entry-0")
