--- a/callers.go
+++ b/callers.go
@@ -37,7 +37,16 @@
 	mux := http.NewServeMux()
 	limit := h.settings.Limits.MaxPromptBytes + h.settings.Limits.MaxBodyBytes + maxIDBytes*maxNameBytes
 	mux.Handle(persimwire.NewCallerServiceHandler(callerService{h}, connect.WithReadMaxBytes(limit), connect.WithCompressMinBytes(minCompressBytes)))
-	return mux
+	return limitBodies(mux, limit)
+}
+
+// maxEnvelopeBytes is what a request may have beside its message.
+const maxEnvelopeBytes = 1 << 10
+
+// limitBodies limits the bodies of requests, each of which holds one message. Connect keeps no more
+// than its limit of a message, but reads a longer one to its end.
+func limitBodies(handler http.Handler, maxMessageBytes int) http.Handler {
+	return http.MaxBytesHandler(handler, int64(maxMessageBytes)+maxEnvelopeBytes)
 }
 
 // newID returns a request identifier that contains the names of the owner and of
--- a/operators.go
+++ b/operators.go
@@ -38,7 +38,7 @@
 		_, _ = fmt.Fprintln(w, "live", h.version)
 	})
 	mux.HandleFunc("GET /ready", h.serveReady)
-	return mux
+	return limitBodies(mux, maxOperatorMessageBytes)
 }
 
 func (h *host) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/peers.go
+++ b/peers.go
@@ -23,7 +23,7 @@
 func (h *host) Peers() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(persimwire.NewPeerServiceHandler(peerService{h}, connect.WithReadMaxBytes(persimpeer.MaxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
-	return mux
+	return limitBodies(mux, persimpeer.MaxMessageBytes)
 }
 
 func (p peerService) Exchange(ctx context.Context, req *connect.Request[persimwire.ExchangeRequest]) (*connect.Response[persimwire.ExchangeResponse], error) {
