--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -38,6 +38,8 @@
 	KindUpstreamLimit       Kind = "upstream-limit"
 	KindUpstreamWait        Kind = "upstream-wait"
 	KindUpstreamSaysLeaving Kind = "upstream-says-leaving"
+	// An upstream runs requests and answers with statuses that deny it, or with heads without end.
+	KindUpstreamMislead Kind = "upstream-mislead"
 	// Configuration changes by the operator.
 	KindRevoke  Kind = "revoke"
 	KindReroute Kind = "reroute"
@@ -126,6 +128,10 @@
 	poisonInterval    = 2
 	minPoisonDuration = 24 * time.Second
 	maxPoisonDelay    = time.Second
+	// misleadStream is the random stream for events of KindUpstreamMislead, meanMisleadInterval
+	// the mean time between two draws.
+	misleadStream       = 1<<32 + 3
+	meanMisleadInterval = 4 * time.Second
 )
 
 // NewPlan derives a plan from a seed. If hosts is zero, the seed also determines the
@@ -143,6 +149,7 @@
 	}
 	p.addIdleChanges(rand.New(rand.NewPCG(seed, idleChangeStream)))
 	p.addSignals(rand.New(rand.NewPCG(seed, signalStream)))
+	p.addMisleading(rand.New(rand.NewPCG(seed, misleadStream)))
 	if poisonInterval > 0 && seed%max(1, poisonInterval) == 0 {
 		p.AddPoison()
 	}
@@ -212,6 +219,14 @@
 	}
 }
 
+// addMisleading adds events in which upstreams mislead hosts.
+func (p *Plan) addMisleading(random *rand.Rand) {
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanMisleadInterval)) }
+	for at := firstEventAt; at < p.Duration; at += next() {
+		p.addSeries(random, Event{Kind: KindUpstreamMislead, At: at, Target: random.IntN(p.Upstreams), Duration: maxEventDuration})
+	}
+}
+
 // addSeries adds an event, and sometimes a series of them.
 func (p *Plan) addSeries(random *rand.Rand, event Event) {
 	p.Events = append(p.Events, event)
--- a/persimsoak/upstream.go
+++ b/persimsoak/upstream.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"persimmonport.example/persimcatalog"
@@ -63,10 +64,12 @@
 // upstream runs a stand-in behind a proxy that injects link faults. It records its
 // executions.
 type upstream struct {
-	id       string
-	version  string
-	stand    *persimstand.Upstream
-	proxy    *proxy
+	id      string
+	version string
+	stand   *persimstand.Upstream
+	proxy   *proxy
+	// misleads is set while the upstream misleads hosts.
+	misleads atomic.Bool
 	cleanups []func()
 }
 
@@ -95,10 +98,15 @@
 	recorded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get(platform.HeaderRequestID)
 		arrivals.record(id, request)
-		if rollout.fails(id, request) {
+		respond, misled := misleading(id, request)
+		switch {
+		case rollout.fails(id, request):
 			record(request, r)
 			respondFailure(w, id, request)
-		} else {
+		case misled && started.misleads.Load():
+			record(request, r)
+			respond(w, r)
+		default:
 			handler.ServeHTTP(w, r)
 		}
 		executions.finish(request, id, time.Now())
--- a/persimsoak/upstreams.go
+++ b/persimsoak/upstreams.go
@@ -143,6 +143,9 @@
 		return nil
 	case KindUpstreamSaysLeaving:
 		return u.sayLeaving(target)
+	case KindUpstreamMislead:
+		u.mislead(target, event.Duration)
+		return nil
 	}
 	faults := map[Kind]linkFault{
 		KindUpstreamDelay: linkFaultDelay, KindUpstreamReset: linkFaultReset,
