Read as a newcomer: name of the end of an attempt, room for responses of hosts

finishRelayed also ends attempts whose response is dropped for a retry, so it is finishWithStatus. A response of another host gets the room of one connection, not that of all, as a request of another host does.

Measured: the packages' tests of both pass.

--- a/persimexchange/links.go
+++ b/persimexchange/links.go
@@ -154,7 +154,7 @@
 	if err := writeMessage(stream, request); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	response, release, err := readMessage(stream, l.memory)
+	response, release, err := readMessage(stream, l.memory.forConn())
 	if err != nil {
 		return nil, err
 	}
--- a/persimexchange/message.go
+++ b/persimexchange/message.go
@@ -32,7 +32,8 @@
 	all, conn *semaphore.Weighted
 }
 
-// forConn returns the memory for the messages that another host sends on a new connection.
+// forConn returns the memory for the messages that another host sends on a new connection, or in
+// response to one request.
 func (m readMemory) forConn() readMemory {
 	return readMemory{all: m.all, conn: semaphore.NewWeighted(maxConnReadBytes)}
 }
--- a/persimfront/answer.go
+++ b/persimfront/answer.go
@@ -37,8 +37,8 @@
 	w.WriteHeader(status)
 }
 
-// withhold drops a response whose status is untrue, and closes its connection unless the rest of
-// it is short.
+// withhold drops a response whose status is untrue. It closes the connection unless the rest of the
+// response is short.
 func (a *attempt) withhold(exchange *persimconn.Exchange) (attemptResult, *bufferedResponse, string) {
 	kept := exchange.Discard()
 	klog.InfoS("response withheld", "request", a.id, "upstream", a.upstream.ID, "born", a.upstream.Born,
@@ -54,8 +54,9 @@
 // request is retried if it may run more than once.
 func isServerError(status int) bool { return status >= http.StatusInternalServerError }
 
-// finishRelayed records the end of an attempt whose response the caller gets.
-func (a *attempt) finishRelayed(status int) {
+// finishWithStatus records the end of an attempt whose response is sound but for its status, and
+// goes to the caller or is dropped for a retry.
+func (a *attempt) finishWithStatus(status int) {
 	if isServerError(status) {
 		a.finish(persimplace.OutcomeFailed)
 		return
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -77,7 +77,7 @@
 // deliver sends a buffered response to the caller. It returns a server error instead
 // of sending it, since the request may be retried.
 func (a *attempt) deliver(w http.ResponseWriter, response *bufferedResponse) (attemptResult, *bufferedResponse, string) {
-	a.finishRelayed(response.status)
+	a.finishWithStatus(response.status)
 	if isServerError(response.status) {
 		return resultErrorResponse, response, causeUpstreamFailed
 	}
@@ -103,7 +103,7 @@
 	response := exchange.Response
 	if isServerError(response.StatusCode) && a.reserveRetry() {
 		exchange.Abandon()
-		a.finishRelayed(response.StatusCode)
+		a.finishWithStatus(response.StatusCode)
 		return resultUnknown, nil, causeUpstreamFailed
 	}
 	copyHeader(w.Header(), response.Header)
@@ -119,7 +119,7 @@
 		a.abortResponse("answer broke off")
 	}
 	exchange.Finish()
-	a.finishRelayed(response.StatusCode)
+	a.finishWithStatus(response.StatusCode)
 	a.record(response.StatusCode, outcomeOK)
 	return resultDone, nil, ""
 }
