Soak: a connection that lost bytes delivers no later ones

The proxy dropped the chunks of two events and went on with the next ones. No network delivers the bytes after lost ones, so no host can see such a gap; the fault was one of the soak.

Change: a direction that has lost bytes delivers none until its connection is reset. No check is narrowed.

--- a/persimsoak/proxy.go
+++ b/persimsoak/proxy.go
@@ -19,7 +19,8 @@
 	linkFaultReset
 	// linkFaultStall keeps connections open and forwards nothing.
 	linkFaultStall
-	// linkFaultDropResponses forwards what clients send and drops what comes back.
+	// linkFaultDropResponses forwards what clients send and drops what comes back. A connection that
+	// has lost bytes delivers no later ones, as TCP would not.
 	linkFaultDropResponses
 )
 
@@ -73,14 +74,19 @@
 // resetConns closes all connections with a TCP reset. The caller must hold mu.
 func (p *proxy) resetConns() {
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		reset(conn)
 	}
 	p.conns = map[net.Conn]bool{}
 }
 
+// reset closes a connection with a TCP reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.mu.Lock()
@@ -122,13 +128,19 @@
 // forward copies from one connection to the other until one of them ends.
 func (p *proxy) forward(to, from net.Conn, response bool) {
 	buffer := make([]byte, copyBufferBytes)
+	lost := false
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && p.mayForward(response) {
+		lost = lost || n > 0 && !p.mayForward(response)
+		if n > 0 && !lost {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
+		if err != nil && lost {
+			reset(to)
+			return
+		}
 		if err != nil {
 			closeWrite(to, err)
 			return
