A host that did not read takes no gap between lists for an outage

Cause: a gap of over 2 s between two lists counts as an outage of the store, in which registrations may lapse, whoever left the gap. Where the drain bound is 3 s or more, a member's own poll interval is longer than that. Ruled out: a slow or failed read (failedReads=0, the list is 57 ms old) and an old list (it is the newest one).

Change: a gap that the host's poll interval explains is none, unless a read has failed in it or another host knows that the store came back in it. With a drain bound of 2 s nothing changes, as the interval is below 2 s there.

Measured: TestGapOfAHostThatDidNotReadIsNoOutage fails before for the host's own first read and passes now.

--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -141,6 +141,7 @@
 		rollouts:    newRolloutState(),
 	}
 	e.rosterState.outages.contact = deployment.Bounds.Contact
+	e.rosterState.outages.quiet = longestPollInterval(deployment.Bounds.UpstreamDrain)
 	e.startedAt = time.Now()
 	e.hubState = newHubState(e.startedAt, deployment, incarnation)
 	e.lease.SetAcquireDelay(acquireDelay(deployment.MemoryBytes))
--- a/persimentry/outage.go
+++ b/persimentry/outage.go
@@ -29,8 +29,11 @@
 }
 
 // joins reports whether no outage lies between two spans.
-func (s readableSpan) joins(other readableSpan) bool {
-	return s.since.Sub(other.until) <= registrationTTL && other.since.Sub(s.until) <= registrationTTL
+func (s readableSpan) joins(other readableSpan) bool { return s.within(other, registrationTTL) }
+
+// within reports whether the gap between two spans is not longer than a time.
+func (s readableSpan) within(other readableSpan, gap time.Duration) bool {
+	return s.since.Sub(other.until) <= gap && other.since.Sub(s.until) <= gap
 }
 
 // union returns the span from the earlier start to the later end.
@@ -48,6 +51,9 @@
 	// contact is the time after the return of the store, or of the path to it, from which
 	// on requests must not reach upstreams that are gone; zero means no bound.
 	contact time.Duration
+	// quiet is the longest time between two lists of this host while it hears of no other host
+	// and no read fails.
+	quiet time.Duration
 	// current is the latest span in which the store could be read, previous the one before
 	// the latest outage, if there was one.
 	current, previous readableSpan
@@ -71,12 +77,13 @@
 // confirm records that the store could be read in a span, by this or another host. It
 // reports whether that shows an outage.
 func (o *outageRecord) confirm(span readableSpan) bool {
+	expected := o.expects(span)
 	o.failedReads = 0
 	outage := false
 	switch {
 	case o.current == (readableSpan{}):
 		o.current = span
-	case o.current.joins(span):
+	case o.current.joins(span) || expected:
 		o.current = o.current.union(span)
 	case span.since > o.current.until:
 		outage = true
@@ -92,6 +99,24 @@
 	return outage
 }
 
+// expects reports whether the time since the latest list is one in which this host did not read,
+// since others did so for it, and nobody is known to have failed to. Their news may have ended
+// with the path to them.
+func (o *outageRecord) expects(span readableSpan) bool {
+	failed := o.failedReads > 0 || span.returned > o.current.until
+	return !failed && o.current.within(span, o.quiet)
+}
+
+// longestPollInterval returns the longest time between two lists of a host that reads by itself,
+// while all reads succeed. The bound is the greatest age that its copy may have.
+func longestPollInterval(bound time.Duration) time.Duration {
+	fraction := 0.0
+	for _, of := range pollFractions {
+		fraction = max(fraction, of+pollSpreadFraction)
+	}
+	return time.Duration(fraction*float64(bound)) + 2*stalenessCheckInterval
+}
+
 // keepsMissing reports whether upstreams that are missing in the list are kept, since they
 // may not have registered again after an outage of the store.
 func (o *outageRecord) keepsMissing(now persimclock.Instant) bool {
--- a/persimentry/outage_test.go
+++ b/persimentry/outage_test.go
@@ -68,6 +68,56 @@
 	}
 }
 
+// TestGapOfAHostThatDidNotReadIsNoOutage guards against requests to upstreams that are gone, which
+// a host keeps since it takes the loss of the hosts that read for it for an outage of the store.
+func TestGapOfAHostThatDidNotReadIsNoOutage(t *testing.T) {
+	const ms = time.Millisecond
+	quiet := longestPollInterval(3 * time.Second)
+	tests := map[string]struct {
+		gap time.Duration
+		// failed is when a read of this host failed, returned when the store came back as
+		// another host knows; zero means neither.
+		failed, returned time.Duration
+		outage           bool
+	}{
+		"list of another host":                  {gap: 1500 * ms},
+		"own first read":                        {gap: 2160 * ms},
+		"own first read, late":                  {gap: quiet},
+		"own read after one that failed":        {gap: 2160 * ms, failed: 1900 * ms, outage: true},
+		"another host knows of a return":        {gap: 2160 * ms, returned: 2100 * ms, outage: true},
+		"longer than any host leaves unread":    {gap: quiet + ms, outage: true},
+		"a read that failed, in a short outage": {gap: 1900 * ms, failed: 1000 * ms},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := outageRecord{contact: testContact, quiet: quiet}
+			o.confirm(span(-time.Minute, 0, -time.Minute))
+			if tt.failed > 0 {
+				o.recordFailure(at(tt.failed))
+			}
+			confirmed := readSpan(at(tt.gap))
+			if tt.returned > 0 {
+				confirmed.returned = at(tt.returned)
+			}
+			require.Equal(t, tt.outage, o.confirm(confirmed))
+			require.Equal(t, tt.outage, o.keepsMissing(at(tt.gap+ms)))
+		})
+	}
+}
+
+// TestLongestPollInterval guards against a host whose own reads come later than the gap that is
+// taken for none.
+func TestLongestPollInterval(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		for role := range pollFractions {
+			for host := range 300 {
+				age := pollAge(fmt.Sprint("host-", host), role, bound)
+				require.LessOrEqual(t, age+stalenessCheckInterval, longestPollInterval(bound))
+			}
+		}
+	}
+}
+
 // partitionedHost is a host that reads the list alone, as the only reader or as one that
 // no other host reaches.
 type partitionedHost struct {
