--- a/persimentry/outage.go
+++ b/persimentry/outage.go
@@ -99,9 +99,9 @@
 	return outage
 }
 
-// expects reports whether the time since the latest list is one in which this host did not read,
-// since others did so for it, and nobody is known to have failed to. Their news may have ended
-// with the path to them.
+// expects reports whether this host's poll interval explains the gap before a span: others read
+// for it and were cut off, so that the next list is its own first read. A read that has failed, or
+// another host that knows of a return of the store in the gap, shows an outage instead.
 func (o *outageRecord) expects(span readableSpan) bool {
 	failed := o.failedReads > 0 || span.returned > o.current.until
 	return !failed && o.current.within(span, o.quiet)
