--- a/persimfront/crash_test.go
+++ b/persimfront/crash_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimclock"
 )
 
 const (
@@ -105,6 +106,7 @@
 			own := 0
 			send := func(second string) (*http.Response, string, error) {
 				own++
+				h.front.ConfirmCatalogue(persimclock.Now())
 				return h.get(t, "POST", tt.path, promptOf(sharedPart, second, own))
 			}
 			for range maxCrashes {
