--- a/outcome_test.go
+++ b/outcome_test.go
@@ -38,7 +38,7 @@
 }
 
 // TestRefusedCallThatRanIsNotDenied guards against a call that a service has run and whose caller
-// is told that it did not run, since it then waited for another attempt in vain.
+// gets the outcome "not run", since there was no further attempt before its time ended.
 func TestRefusedCallThatRanIsNotDenied(t *testing.T) {
 	const work = time.Second
 	for _, c := range []struct {
@@ -81,7 +81,7 @@
 }
 
 // TestModelRequestThatMovedIsNotDenied guards against a request that an engine has begun without a
-// token, that moves to another host, and whose caller is then told that it did not run.
+// token, that moves to another host, and whose caller then gets the outcome "not run".
 func TestModelRequestThatMovedIsNotDenied(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/persimentry/outage.go
+++ b/persimentry/outage.go
@@ -51,7 +51,7 @@
 	// contact is the time after the return of the store, or of the path to it, from which
 	// on requests must not reach upstreams that are gone; zero means no bound.
 	contact time.Duration
-	// quiet is the longest time between two lists of this host while it hears of no other host
+	// quiet is the longest time between two lists of this host while no other host sends it one
 	// and no read fails.
 	quiet time.Duration
 	// current is the latest span in which the store could be read, previous the one before
