--- a/persimconn/pool.go
+++ b/persimconn/pool.go
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"persimmonport.example/persimresponse"
 )
 
 // Defaults of a pool.
@@ -87,11 +89,13 @@
 	return p, p.close
 }
 
-// Conn is a connection to an upstream, used by one request at a time.
+// Conn is a connection to an upstream, used by one request at a time. Requests and responses go
+// through checked, and are read and written nowhere else.
 type Conn struct {
 	net.Conn
 	address string
 	pool    *pool
+	checked *persimresponse.Conn
 	head    *headLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -131,14 +135,16 @@
 		p.removeOpen()
 		return nil, err
 	}
-	head := &headLimiter{from: netConn}
+	checked := persimresponse.NewConn(netConn)
+	head := &headLimiter{from: checked}
 	return &Conn{
 		Conn:    netConn,
 		address: address,
 		pool:    p,
+		checked: checked,
 		head:    head,
 		reader:  bufio.NewReaderSize(head, bufferSize),
-		writer:  bufio.NewWriterSize(netConn, bufferSize),
+		writer:  bufio.NewWriterSize(checked, bufferSize),
 	}, nil
 }
 
--- a/persimfront/attempt_test.go
+++ b/persimfront/attempt_test.go
@@ -75,15 +75,20 @@
 // getPreferringFirst sends a request that is routed to the first upstream before the
 // second, which reports a high load.
 func (h *harness) getPreferringFirst(t *testing.T, path string, first, second *fakeUpstream) (*http.Response, string, error) {
+	t.Helper()
+	h.prefer(t, first.catalogueUpstream("s"), second.catalogueUpstream("s"))
+	return h.get(t, "POST", path, "Content-Length: 0\r\n")
+}
+
+// prefer lists two upstreams, of which the second reports a high load.
+func (h *harness) prefer(t *testing.T, first, second persimcatalog.Upstream) {
 	t.Helper()
 	f, ok := h.front.(*front)
 	require.True(t, ok)
-	slow := second.catalogueUpstream("s")
-	f.SetUpstreams(upstreamsOf(first.catalogueUpstream("s"), slow))
+	f.SetUpstreams(upstreamsOf(first, second))
 	f.mu.Lock()
-	f.dispatcher.placer("s").RecordReport(reportTime(), hashOf(slow.ID), slowReport)
-	f.mu.Unlock()
-	return h.get(t, "POST", path, "Content-Length: 0\r\n")
+	defer f.mu.Unlock()
+	f.dispatcher.placer("s").RecordReport(reportTime(), hashOf(second.ID), slowReport)
 }
 
 func TestUnreachedUpstreamIsPassedOver(t *testing.T) {
--- /dev/null
+++ b/persimplatform/broken_test.go
@@ -0,0 +1,57 @@
+package persimplatform
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonport.example/persimbroken"
+)
+
+// longUploadBytes is the size of a request that is still being written when an early response ends.
+const longUploadBytes = 8 << 20
+
+func newBrokenClient(t *testing.T, respond func(req *http.Request) persimbroken.Response) (*client, *persimbroken.Server) {
+	t.Helper()
+	server, stop, err := persimbroken.New(respond)
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	c, cleanup := newClient("http://"+server.Address(), 2*time.Second, nil)
+	t.Cleanup(cleanup)
+	return c, server
+}
+
+// TestOnlyWholeResponsesAreTaken guards against a part of a response that is taken for all of it,
+// also while a long request is still being written.
+func TestOnlyWholeResponsesAreTaken(t *testing.T) {
+	for _, c := range persimbroken.Bodies() {
+		for ending, end := range persimbroken.Ends() {
+			for upload, size := range map[string]int{"short upload": 100, "long upload": longUploadBytes} {
+				t.Run(fmt.Sprintf("%s/%s/%s", c.Name, ending, upload), func(t *testing.T) {
+					client, _ := newBrokenClient(t, func(*http.Request) persimbroken.Response {
+						return persimbroken.Response{Text: c.Text(""), End: end, Delay: time.Millisecond, Early: true}
+					})
+					for range end.Runs() {
+						client.http.CloseIdleConnections()
+						data, err := client.call(t.Context(), http.MethodPost, "/p", bytes.Repeat([]byte("x"), size))
+						if !c.Whole(end) {
+							require.ErrorIs(t, err, ErrUncertain, "taken: %q", data)
+							continue
+						}
+						// The client may drop a whole response to a request that it could not send.
+						if err != nil && size == longUploadBytes && end != persimbroken.EndFIN {
+							require.ErrorIs(t, err, ErrUncertain)
+							continue
+						}
+						require.NoError(t, err)
+						require.Equal(t, persimbroken.Body, string(data))
+					}
+				})
+			}
+		}
+	}
+}
--- a/persimplatform/client.go
+++ b/persimplatform/client.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 
+	"persimmonport.example/persimresponse"
 	"persimmonport.example/platform"
 )
 
@@ -97,14 +98,14 @@
 }
 
 func newTransport() http.RoundTripper {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		// The default allows 10 MB.
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
+	return persimresponse.NewTransport(transport, &net.Dialer{Timeout: dialTimeout})
 }
 
 func burst(limit rate.Limit) int {
--- /dev/null
+++ b/persimresponse/transport.go
@@ -0,0 +1,54 @@
+package persimresponse
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+)
+
+// NewTransport returns a round tripper that sends requests with a transport, whose connections are
+// opened by a dialer and check the responses. The transport must speak HTTP/1.1 and must not be
+// used otherwise.
+func NewTransport(base *http.Transport, dialer *net.Dialer) http.RoundTripper {
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialTLS(ctx, dialer, base.TLSClientConfig, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	return base
+}
+
+// dialTLS opens a TLS connection to a server, which must have a certificate for the host of the
+// address unless the configuration names another one. The configuration may be nil.
+func dialTLS(ctx context.Context, dialer *net.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if config = config.Clone(); config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName == "" {
+		config.ServerName = host
+	}
+	secured := tls.Client(conn, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
--- a/persimupstream/upstream.go
+++ b/persimupstream/upstream.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"strconv"
 	"time"
+
+	"persimmonport.example/persimresponse"
 )
 
 // Errors of an attempt; callers test for them with errors.Is.
@@ -102,14 +104,14 @@
 		return &http.Client{Transport: c.transport}, func() {}
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: c.dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 		// The default allows 10 MB.
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+	client := &http.Client{Transport: persimresponse.NewTransport(transport, &net.Dialer{Timeout: c.dialTimeout})}
+	return client, client.CloseIdleConnections
 }
 
 // classifySendError returns ErrNotRun when no connection could be opened, and
