--- a/persimbroken/cases.go
+++ b/persimbroken/cases.go
@@ -14,6 +14,35 @@
 	endOfHead   = "\r\n"
 )
 
+// HeadCase is a response whose head is malformed.
+type HeadCase struct {
+	Name string
+	// status is the status line, fields are the lines that follow it, with their ends.
+	status, fields string
+	// body follows the head.
+	body string
+}
+
+// Text returns the bytes of the response, with more fields in front of its own.
+func (c HeadCase) Text(fields string) string {
+	return c.status + fields + c.fields + endOfHead + c.body
+}
+
+// MalformedHeads returns responses that no client may take for one.
+func MalformedHeads() []HeadCase {
+	var cases []HeadCase
+	for _, code := range []string{"000", "001", "099", "101", "600", "999", "-01", "+20", "20", "2000", "2x0", "", " 200"} {
+		cases = append(cases, HeadCase{"status " + code, "HTTP/1.1 " + code + " Text\r\n", "Content-Length: 0\r\n", ""})
+	}
+	for _, line := range []string{"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.x 200 OK", "200 OK", "HTTP/1.1 200 O\x00K"} {
+		cases = append(cases, HeadCase{"status line " + line, line + "\r\n", lengthField, Body})
+	}
+	return append(
+		cases,
+		HeadCase{"status 000 after an interim response", "HTTP/1.1 103 Early Hints\r\n", "", "HTTP/1.1 000 Text\r\nContent-Length: 0\r\n" + endOfHead},
+	)
+}
+
 // BodyCase is a response with a valid status line and valid fields.
 type BodyCase struct {
 	Name string
--- a/persimconn/broken_test.go
+++ b/persimconn/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -82,3 +83,24 @@
 		}
 	}
 }
+
+// TestMalformedHeadsAreErrors guards against bytes that are no response but look like one, and
+// against a response that is read from what follows them on the connection.
+func TestMalformedHeadsAreErrors(t *testing.T) {
+	for _, c := range persimbroken.MalformedHeads() {
+		for name, end := range map[string]persimbroken.End{"ends": persimbroken.EndFIN, "stays open": persimbroken.EndNone} {
+			t.Run(c.Name+"/"+name, func(t *testing.T) {
+				p, cleanup := New()
+				defer cleanup()
+				server := serveBroken(t, persimbroken.Response{Text: c.Text("") + okResponse, End: end})
+				body, err := receive(t, p, server.Address(), 1)
+				require.Error(t, err, "taken: %q", body)
+				require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+				next, err := p.Get(t.Context(), server.Address())
+				require.NoError(t, err)
+				require.False(t, next.Reused())
+				_ = next.Close()
+			})
+		}
+	}
+}
--- a/persimconn/exchange.go
+++ b/persimconn/exchange.go
@@ -61,12 +61,10 @@
 	return c.writer.Flush()
 }
 
-// errUpgrade reports a response that ends HTTP on its connection, which no request asks for.
-var errUpgrade = errors.New("upstream: connection upgraded without being asked")
-
 // readHead returns the header of the final response and skips interim responses, which
 // count in the limit on the head.
 func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	c.checked.ExpectHead()
 	c.head.begin()
 	defer c.head.end()
 	for {
@@ -74,9 +72,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errUpgrade
-		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/persimfront/broken_test.go
+++ b/persimfront/broken_test.go
@@ -196,6 +196,11 @@
 	tests := map[string]func(req *http.Request) persimbroken.Response{
 		"reset": func(req *http.Request) persimbroken.Response { return resumed(req, persimbroken.EndReset) },
 	}
+	for _, c := range persimbroken.MalformedHeads() {
+		tests[c.Name] = func(req *http.Request) persimbroken.Response {
+			return persimbroken.Response{Text: c.Text(idFields(req)) + resumed(req, persimbroken.EndFIN).Text, End: persimbroken.EndFIN}
+		}
+	}
 	for name, respond := range tests {
 		t.Run(name, func(t *testing.T) {
 			second, stop, err := persimbroken.New(respond)
@@ -211,6 +216,25 @@
 			_, body, err := h.roundTrip(t, request)
 			require.Error(t, err, "looks whole: %q", body)
 			require.Equal(t, 1, second.Requests())
+			if name != "reset" {
+				require.Equal(t, allEvents(2), body)
+			}
 		})
 	}
 }
+
+// TestMalformedHeadsDoNotReachCallers guards against a response with a malformed head, and one that
+// is read from what follows it, on each kind of route.
+func TestMalformedHeadsDoNotReachCallers(t *testing.T) {
+	for _, c := range persimbroken.MalformedHeads() {
+		for _, path := range []string{"/safe/", "/unsafe/", "/stream/", "/resumed/"} {
+			t.Run(c.Name+path, func(t *testing.T) {
+				respond := func(req *http.Request) persimbroken.Response {
+					next := "HTTP/1.1 200 OK\r\n" + idFields(req) + "Content-Type: text/event-stream\r\nContent-Length: 6\r\n\r\nbad\n\n\n"
+					return persimbroken.Response{Text: c.Text(idFields(req)) + next, End: persimbroken.EndFIN}
+				}
+				requireUnknown(t, path, brokenTest{path, 0, respond, respondOK()}.run(t))
+			})
+		}
+	}
+}
--- a/persimplatform/broken_test.go
+++ b/persimplatform/broken_test.go
@@ -55,3 +55,22 @@
 		}
 	}
 }
+
+// TestMalformedHeadsAreErrors guards against bytes that are no response but look like one, and
+// against a response that is read from what follows them on the connection.
+func TestMalformedHeadsAreErrors(t *testing.T) {
+	for _, c := range persimbroken.MalformedHeads() {
+		for method, want := range map[string]error{http.MethodGet: ErrUnavailable, http.MethodPost: ErrUncertain} {
+			t.Run(c.Name+"/"+method, func(t *testing.T) {
+				client, server := newBrokenClient(t, func(*http.Request) persimbroken.Response {
+					return persimbroken.Response{Text: c.Text("") + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"}
+				})
+				began := time.Now()
+				data, err := client.call(t.Context(), method, "/p", nil)
+				require.ErrorIs(t, err, want, "taken: %q", data)
+				require.Less(t, time.Since(began), time.Second)
+				require.Equal(t, 1, server.Requests())
+			})
+		}
+	}
+}
--- a/persimresponse/conn.go
+++ b/persimresponse/conn.go
@@ -1,6 +1,6 @@
 // Package persimresponse decides whether what a server sends is a whole and valid HTTP/1.1 response.
-// It checks the bytes on the connection, below every client that reads responses: the end of a
-// connection that was reset is an error.
+// It checks the bytes on the connection, below every client that reads responses: malformed heads
+// are errors, and so is the end of a connection that was reset.
 package persimresponse
 
 import (
@@ -19,19 +19,28 @@
 // read before its end need not be the whole response.
 var ErrConnFailed = errors.New("connection failed before the end of the response")
 
-// Conn is a connection to a server whose reads fail with ErrConnFailed in place of io.EOF once the
-// connection has failed. One goroutine may read while another writes.
+// Conn is a connection to a server whose reads fail with ErrMalformed in place of a malformed head,
+// and with ErrConnFailed in place of io.EOF once the connection has failed. One goroutine may read
+// while another writes.
 type Conn struct {
 	net.Conn
+	head head
+	// malformed is the error of all reads after a malformed head.
+	malformed error
+
 	// writing is held during a write.
 	writing sync.Mutex
 	// failure is the error of the first write that failed because the connection did, or nil.
 	failure atomic.Pointer[error]
 }
 
-// NewConn returns a connection that checks what is read from another one.
+// NewConn returns a connection that expects the head of a response.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
+// ExpectHead tells that the next byte read begins the head of the next response. It must not be
+// called during a read.
+func (c *Conn) ExpectHead() { c.head = head{} }
+
 // Write writes to the connection. A socket returns the error of a reset once, to the reader or to
 // the writer, so the writer keeps it for the reader.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -44,9 +53,16 @@
 	return n, err
 }
 
-// Read reads from the connection.
+// Read reads from the connection and checks the heads of responses.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
 	n, err := c.Conn.Read(p)
+	if errHead := c.head.scan(p[:n]); errHead != nil {
+		c.malformed = errHead
+		return 0, errHead
+	}
 	if errors.Is(err, io.EOF) {
 		if failure := c.writeFailure(); failure != nil {
 			return n, fmt.Errorf("%w: %w", ErrConnFailed, *failure)
--- a/persimresponse/conn_test.go
+++ b/persimresponse/conn_test.go
@@ -57,3 +57,28 @@
 		})
 	}
 }
+
+// TestNothingIsReadBehindAMalformedHead guards against bytes behind a malformed head that are read as
+// a response.
+func TestNothingIsReadBehindAMalformedHead(t *testing.T) {
+	conn := NewConn(&fakeConn{data: []string{"HTTP/1.1 000 No\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"}})
+	for range 3 {
+		n, err := conn.Read(make([]byte, 100))
+		require.ErrorIs(t, err, ErrMalformed)
+		require.Zero(t, n)
+		conn.ExpectHead()
+	}
+}
+
+// TestEachHeadIsChecked guards against a head that passes unchecked as it follows the body of an
+// earlier response.
+func TestEachHeadIsChecked(t *testing.T) {
+	conn := NewConn(&fakeConn{data: []string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "a\x00 :b", "HTTP/1.1 000 No\r\n\r\n"}})
+	for range 2 {
+		_, err := conn.Read(make([]byte, 100))
+		require.NoError(t, err)
+	}
+	conn.ExpectHead()
+	_, err := conn.Read(make([]byte, 100))
+	require.ErrorIs(t, err, ErrMalformed)
+}
--- a/persimresponse/transport.go
+++ b/persimresponse/transport.go
@@ -5,8 +5,14 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
+// transport checks the responses of an HTTP transport.
+type transport struct {
+	*http.Transport
+}
+
 // NewTransport returns a round tripper that sends requests with a transport, whose connections are
 // opened by a dialer and check the responses. The transport must speak HTTP/1.1 and must not be
 // used otherwise.
@@ -25,7 +31,7 @@
 		}
 		return NewConn(conn), nil
 	}
-	return base
+	return &transport{base}
 }
 
 // dialTLS opens a TLS connection to a server, which must have a certificate for the host of the
@@ -52,3 +58,17 @@
 	}
 	return secured, nil
 }
+
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*Conn) },
+		// The transport calls it between the last read of a response and the first of the next one.
+		PutIdleConn: func(error) {
+			if conn != nil {
+				conn.ExpectHead()
+			}
+		},
+	}
+	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
--- a/persimresponse/transport_test.go
+++ b/persimresponse/transport_test.go
@@ -13,14 +13,23 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestTransport guards against a client that fails on sound connections, with and without TLS.
+// TestTransport guards against a head that passes unchecked on a connection that serves several
+// requests, with and without TLS.
 func TestTransport(t *testing.T) {
 	for name, start := range map[string]func(http.Handler) *httptest.Server{"plain": httptest.NewServer, "TLS": httptest.NewTLSServer} {
 		t.Run(name, func(t *testing.T) {
 			connections := map[string]bool{}
 			server := start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				connections[r.RemoteAddr] = true
-				_, _ = io.WriteString(w, "good")
+				if r.URL.Path != "/malformed" {
+					_, _ = io.WriteString(w, "good")
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 000 No\r\nContent-Length: 0\r\n\r\n")
 			}))
 			defer server.Close()
 			base := &http.Transport{}
@@ -40,6 +49,8 @@
 				_ = resp.Body.Close()
 			}
 			require.Len(t, connections, 1)
+			_, err := client.Post(server.URL+"/malformed", "", nil)
+			require.ErrorIs(t, err, ErrMalformed)
 		})
 	}
 }
--- a/persimupstream/broken_test.go
+++ b/persimupstream/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -57,3 +58,99 @@
 		}
 	}
 }
+
+// calls are the ways in which this package reads responses that are no streams.
+var calls = map[string]func(ctx context.Context, address string) error{
+	"service": func(ctx context.Context, address string) error {
+		service, cleanup := NewService()
+		defer cleanup()
+		_, err := service.Do(ctx, address, Call{Method: "m"})
+		return err
+	},
+	"load": func(ctx context.Context, address string) error {
+		engine, cleanup := NewEngine()
+		defer cleanup()
+		_, err := engine.Load(ctx, address)
+		return err
+	},
+	"cancel": func(ctx context.Context, address string) error {
+		engine, cleanup := NewEngine()
+		defer cleanup()
+		return engine.Cancel(ctx, address, "s")
+	},
+	"export": func(ctx context.Context, address string) error {
+		engine, cleanup := NewEngine()
+		defer cleanup()
+		_, err := engine.Export(ctx, address, "s")
+		return err
+	},
+	"import": func(ctx context.Context, address string) error {
+		engine, cleanup := NewEngine()
+		defer cleanup()
+		return engine.Import(ctx, address, Cache{})
+	},
+	"events": func(ctx context.Context, address string) error {
+		engine, cleanup := NewEngine()
+		defer cleanup()
+		_, err := engine.Generate(ctx, address, CompletionRequest{}, func(int, string) error { return nil })
+		return err
+	},
+	"attach": func(ctx context.Context, address string) error {
+		engine, cleanup := NewEngine()
+		defer cleanup()
+		_, err := engine.Attach(ctx, address, "s", 0, func(int, string) error { return nil })
+		return err
+	},
+}
+
+// wholeResponse is one that every call takes.
+const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 61\r\n\r\n" +
+	`data: {"index":0,"choices":[{"finish_reason":"stop"}]}` + "\n\n    \n"
+
+// TestMalformedHeadsAreErrors guards against bytes that are no response but look like one, and
+// against a response that is read from what follows them on the connection.
+func TestMalformedHeadsAreErrors(t *testing.T) {
+	for _, c := range persimbroken.MalformedHeads() {
+		for name, call := range calls {
+			t.Run(c.Name+"/"+name, func(t *testing.T) {
+				server := startBroken(t, func(*http.Request) persimbroken.Response {
+					return persimbroken.Response{Text: c.Text("") + wholeResponse}
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				began := time.Now()
+				require.ErrorIs(t, call(ctx, server.Address()), ErrBroken)
+				require.Less(t, time.Since(began), time.Second)
+				require.Equal(t, 1, server.Requests())
+			})
+		}
+	}
+}
+
+// TestNothingIsReadBehindAMalformedHead guards against a connection that serves another call after
+// a malformed head, whose response would be what the upstream wrote behind it, or the next one
+// that it writes.
+func TestNothingIsReadBehindAMalformedHead(t *testing.T) {
+	for _, c := range persimbroken.MalformedHeads() {
+		t.Run(c.Name, func(t *testing.T) {
+			sound := true
+			server := startBroken(t, func(*http.Request) persimbroken.Response {
+				if sound = !sound; sound {
+					return persimbroken.Response{Text: c.Text("")}
+				}
+				return persimbroken.Response{Text: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"}
+			})
+			service, cleanup := NewService()
+			defer cleanup()
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				body, err := service.Do(ctx, server.Address(), Call{Method: "m"})
+				require.NoError(t, err)
+				require.Equal(t, "fine", string(body))
+				_, err = service.Do(ctx, server.Address(), Call{Method: "m"})
+				require.ErrorIs(t, err, ErrBroken)
+				cancel()
+			}
+		})
+	}
+}
