A rejection that breaks off does not deny a run

What callers saw: an upstream began to reject a request ("X-Not-Executed", or 421) and broke off within the response. The host took it for a statement that nothing had run, and sent a request that may run once to another upstream.

Cause: handleResponse looked at the head only; whether the rest could be read decided no more than whether the connection was kept.

Change: Exchange.Discard returns what it met, and a rejection that broke off is handled as any other broken response: the outcome is unknown, and only a request that may be repeated goes to another upstream. A rejection whose body is longer than 64 KB or does not end within 0.1 s has not broken off as far as is known, and counts as before (TestEndlessResponses).

TestDiscardReleasesOnlyWholeResponses compares the error with nil in place of the bool: the same condition.

--- a/persimconn/endless_test.go
+++ b/persimconn/endless_test.go
@@ -143,7 +143,7 @@
 			e, err := Send(t.Context(), conn, newRequest(address, "x"))
 			require.NoError(t, err)
 			began := time.Now()
-			require.Equal(t, test.reused, e.Discard())
+			require.Equal(t, test.reused, e.Discard() == nil)
 			require.Less(t, time.Since(began), time.Second)
 			next, err := p.Get(t.Context(), address)
 			require.NoError(t, err)
--- a/persimconn/exchange.go
+++ b/persimconn/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -107,21 +108,28 @@
 	discardTimeout = 100 * time.Millisecond
 )
 
-// Discard reads the rest of a short response and releases its connection. A body that
-// is long or does not end soon closes the connection instead, which it reports by
-// false.
-func (e *Exchange) Discard() bool {
+// errNotRead reports a response that Discard has not read to its end.
+var errNotRead = errors.New("upstream: rest of response not read")
+
+// Discard reads the rest of a short response and releases its connection. It closes the
+// connection and returns an error otherwise: ErrUnknown for a response that broke off, another one
+// for a body that is long or does not end soon.
+func (e *Exchange) Discard() error {
 	if err := e.conn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
 		e.Abandon()
-		return false
+		return errors.Join(errNotRead, err)
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(e, maxDiscardBytes+1))
-	if err != nil || n > maxDiscardBytes {
+	switch {
+	case n > maxDiscardBytes || errors.Is(err, os.ErrDeadlineExceeded):
+		e.Abandon()
+		return errNotRead
+	case err != nil:
 		e.Abandon()
-		return false
+		return err
 	}
 	e.Finish()
-	return true
+	return nil
 }
 
 // Framed reports whether the response says where its body ends; otherwise the body ends
--- a/persimfront/answer.go
+++ b/persimfront/answer.go
@@ -40,7 +40,7 @@
 // withhold drops a response whose status is untrue. It closes the connection unless the rest of the
 // response is short.
 func (a *attempt) withhold(exchange *persimconn.Exchange) (attemptResult, *bufferedResponse, string) {
-	kept := exchange.Discard()
+	kept := exchange.Discard() == nil
 	klog.InfoS("response withheld", "request", a.id, "upstream", a.upstream.ID, "born", a.upstream.Born,
 		"status", exchange.Response.StatusCode, "connectionKept", kept)
 	if a.front.metrics != nil {
--- a/persimfront/attempt.go
+++ b/persimfront/attempt.go
@@ -182,12 +182,7 @@
 		return resultUnknown, nil, "answer of another request"
 	}
 	if response.Header.Get(platform.HeaderNotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		if !exchange.Discard() {
-			klog.V(1).InfoS("attempt: connection closed after a rejection", "request", a.id, "upstream", a.upstream.ID)
-		}
-		a.finish(persimplace.OutcomeRejected)
-		a.possibleRuns--
-		return resultNotRun, nil, "upstream refused"
+		return a.handleRejection(ctx, exchange)
 	}
 	if !producedByUpstream(response.Header) {
 		exchange.Abandon()
@@ -203,6 +198,23 @@
 	return a.relay(ctx, w, exchange)
 }
 
+// handleRejection records that the upstream has not run the request. A rejection that breaks off
+// says nothing.
+func (a *attempt) handleRejection(ctx context.Context, exchange *persimconn.Exchange) (attemptResult, *bufferedResponse, string) {
+	err := exchange.Discard()
+	if errors.Is(err, persimconn.ErrUnknown) {
+		a.countUsage()
+		a.recordBreak(ctx, "rejection broke off", true, 0, err)
+		return resultUnknown, nil, causeBrokeOff
+	}
+	if err != nil {
+		klog.V(1).InfoS("attempt: connection closed after a rejection", "request", a.id, "upstream", a.upstream.ID, "error", persimlog.ErrorText(err))
+	}
+	a.finish(persimplace.OutcomeRejected)
+	a.possibleRuns--
+	return resultNotRun, nil, "upstream refused"
+}
+
 // reportLoad passes the load report in a response header to the placer.
 func (a *attempt) reportLoad(response *http.Response) {
 	load, ok := platform.DecodeLoad(response.Header.Get(platform.HeaderLoad))
--- a/persimfront/broken_test.go
+++ b/persimfront/broken_test.go
@@ -239,6 +239,30 @@
 	}
 }
 
+// TestRejectionThatBreaksOffDeniesNoRun guards against a second run, or a status that denies a run,
+// after a rejection of which only a part came.
+func TestRejectionThatBreaksOffDeniesNoRun(t *testing.T) {
+	for _, status := range []string{"503 Busy", "421 Misdirected Request", "429 Slow"} {
+		for rest, end := range map[string]persimbroken.End{
+			"Content-Length: 30\r\n\r\nbad":                  persimbroken.EndFIN,
+			"Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n": persimbroken.EndFIN,
+			"\r\nbad": persimbroken.EndReset,
+			"X Field: 2\r\nContent-Length: 0\r\n\r\n":            persimbroken.EndNone,
+			"Content-Length: 0\r\nTransfer-Encoding : x\r\n\r\n": persimbroken.EndNone,
+		} {
+			for _, path := range []string{"/safe/", "/unsafe/"} {
+				t.Run(status+"/"+strconv.Quote(rest)+path, func(t *testing.T) {
+					respond := func(req *http.Request) persimbroken.Response {
+						text := "HTTP/1.1 " + status + "\r\n" + idFields(req) + "X-Not-Executed: 1\r\n" + rest
+						return persimbroken.Response{Text: text, End: end, Early: true, Delay: time.Millisecond}
+					}
+					requireUnknown(t, path, brokenTest{path, 0, respond, respondOK()}.run(t))
+				})
+			}
+		}
+	}
+}
+
 // TestFoldedLinesAndTrailersAreTaken guards against whole responses that are dropped: a folded line
 // is passed on in one piece (RFC 9112, 5.2), and trailers are not passed on.
 func TestFoldedLinesAndTrailersAreTaken(t *testing.T) {
--- a/persimfront/relay.go
+++ b/persimfront/relay.go
@@ -22,6 +22,9 @@
 // sent to the caller.
 const maxBufferedBytes = 256 << 10
 
+// causeBrokeOff is the cause of a response that was not whole.
+const causeBrokeOff = "answer broke off"
+
 // bufferedResponse is a response of an upstream that was read completely.
 type bufferedResponse struct {
 	status int
@@ -67,7 +70,7 @@
 	if err != nil {
 		exchange.Abandon()
 		a.recordBreak(ctx, "response broke off", true, 0, err)
-		return resultUnknown, nil, "answer broke off"
+		return resultUnknown, nil, causeBrokeOff
 	}
 	exchange.Finish()
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -116,7 +119,7 @@
 	if err != nil {
 		exchange.Abandon()
 		a.finish(persimplace.OutcomeFailed)
-		a.abortResponse("answer broke off")
+		a.abortResponse(causeBrokeOff)
 	}
 	exchange.Finish()
 	a.finishWithStatus(response.StatusCode)
