persimupstream takes only whole responses

What callers of serve could see: a call counted as not run, and was sent again, after a refusal that broke off; as invalid or as an unknown stream after a 4xx that did; a cancelled stream, an imported cache or a load report counted after a part of the response; and an answer ended at an end marker that broke off within its event.

Cause: the status was taken before the body was read, calls without a result never read it, one with a result decoded the first value of what came, and bufio.Scanner returns a last line without its end.

Change: a response that stands for an error is read to its end first, all calls read the whole body before it is decoded, and a last line without its end is dropped.

Evidence: TestRejectionThatBreaksOffDeniesNoRun (63 of 63 rows), TestPartOfAResponseIsNoResult (8 of 10, the calls of engines; plain services were right already) and the new row of TestReadEvents fail on the code before and pass now.

--- a/persimupstream/broken_test.go
+++ b/persimupstream/broken_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -154,3 +155,39 @@
 		})
 	}
 }
+
+// TestRejectionThatBreaksOffDeniesNoRun guards against a call that runs twice, or that its caller is
+// told has not run or is invalid, after a rejection of which only a part came.
+func TestRejectionThatBreaksOffDeniesNoRun(t *testing.T) {
+	for _, status := range []string{"503 Busy\r\n" + HeaderNotRun + ": true", "400 Bad Request", "404 Not Found"} {
+		for rest, end := range map[string]persimbroken.End{
+			"Content-Length: 30\r\n\r\nbad":                  persimbroken.EndFIN,
+			"Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n": persimbroken.EndFIN,
+			"\r\nbad": persimbroken.EndReset,
+		} {
+			for name, call := range calls {
+				t.Run(strings.Join([]string{status[:3], rest, name}, "/"), func(t *testing.T) {
+					server := startBroken(t, func(*http.Request) persimbroken.Response {
+						return persimbroken.Response{Text: "HTTP/1.1 " + status + "\r\n" + rest, End: end, Delay: time.Millisecond}
+					})
+					require.ErrorIs(t, call(t.Context(), server.Address()), ErrBroken)
+				})
+			}
+		}
+	}
+}
+
+// TestPartOfAResponseIsNoResult guards against a result that is decoded from, or a call that counts
+// as done after, a response of which only a part came.
+func TestPartOfAResponseIsNoResult(t *testing.T) {
+	for _, name := range []string{"load", "cancel", "export", "import", "service"} {
+		for _, rest := range []string{"Content-Length: 30\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"} {
+			t.Run(name+"/"+rest, func(t *testing.T) {
+				server := startBroken(t, func(*http.Request) persimbroken.Response {
+					return persimbroken.Response{Text: "HTTP/1.1 200 OK\r\n" + rest, End: persimbroken.EndFIN}
+				})
+				require.ErrorIs(t, calls[name](t.Context(), server.Address()), ErrBroken)
+			})
+		}
+	}
+}
--- a/persimupstream/engine.go
+++ b/persimupstream/engine.go
@@ -180,6 +180,7 @@
 func readEvents(body io.Reader, nextIndex int, emit EmitFunc) (Usage, error) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLineBytes)
+	lines.Split(splitWholeLines)
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
@@ -203,6 +204,16 @@
 	return Usage{}, ErrBroken
 }
 
+// splitWholeLines is a bufio.SplitFunc that splits as bufio.ScanLines does and drops a last line
+// that broke off.
+func splitWholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	advance, line, err = bufio.ScanLines(data, false)
+	if atEOF && advance == 0 {
+		return len(data), nil, err
+	}
+	return advance, line, err
+}
+
 func usageOf(chunk Chunk) Usage {
 	if chunk.Usage == nil {
 		return Usage{}
@@ -250,8 +261,9 @@
 	if err := exchange.classifyStatus(resp); err != nil {
 		return trace.Wrap(err)
 	}
-	if result == nil {
-		return nil
+	data, err := readBody(resp)
+	if err != nil || result == nil {
+		return trace.Wrap(err)
 	}
-	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(result))
+	return trace.Wrap(json.Unmarshal(data, result))
 }
--- a/persimupstream/engine_test.go
+++ b/persimupstream/engine_test.go
@@ -26,6 +26,7 @@
 		{"complete", eventA + eventB + eventEnd, "ab", nil},
 		{"comment between events", eventA + ": keep-alive\n\n" + eventB + eventEnd, "ab", nil},
 		{"truncated before the end marker", eventA + eventB, "ab", ErrBroken},
+		{"truncated within the end marker", eventA + eventB + strings.TrimSpace(eventEnd), "ab", ErrBroken},
 		{"missing token", eventB + eventEnd, "", ErrBroken},
 		{"duplicate token", eventA + eventA, "a", ErrBroken},
 		{"end marker too early", eventA + eventEnd, "a", ErrBroken},
--- a/persimupstream/upstream.go
+++ b/persimupstream/upstream.go
@@ -152,14 +152,19 @@
 	return id != "" && id != e.id
 }
 
-// classifyStatus returns the error that the status and headers of a response stand
-// for, or nil.
+// classifyStatus returns the error that a response stands for, or nil. It reads the body of
+// a response that stands for an error, since one that breaks off says nothing about the request.
 func (e *exchange) classifyStatus(resp *http.Response) error {
-	switch {
-	case e.foreign(resp):
+	if e.foreign(resp) {
 		return ErrBroken
-	case resp.StatusCode == http.StatusOK:
+	}
+	if resp.StatusCode == http.StatusOK {
 		return nil
+	}
+	if _, err := readBody(resp); err != nil {
+		return err
+	}
+	switch {
 	case resp.Header.Get(HeaderNotRun) != "" && e.belongs(resp):
 		return ErrNotRun
 	case resp.Header.Get(HeaderNotRun) != "":
