The status of a broken response of the platform says nothing

What could be seen: a write whose 409, 429 or 503 broke off counted as one without effect, and an object whose 404 did as missing.

Cause: callWithin mapped the status before it looked at the error of reading the body.

Change: the error comes first; a write is then uncertain, a read unavailable.

--- a/persimplatform/broken_test.go
+++ b/persimplatform/broken_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"persimmonport.example/persimbroken"
+	"persimmonport.example/platform"
 )
 
 // longUploadBytes is the size of a request that is still being written when an early response ends.
@@ -74,3 +76,29 @@
 		}
 	}
 }
+
+// TestStatusOfABrokenResponseSaysNothing guards against a write that counts as one without effect,
+// and an object that counts as missing, after a response of which only a part came.
+func TestStatusOfABrokenResponseSaysNothing(t *testing.T) {
+	for _, status := range []string{"404 Not Found", "409 Conflict", "410 Gone", "413 Too Large", "429 Slow", "503 Busy", "507 Full"} {
+		for rest, end := range map[string]persimbroken.End{
+			"Content-Length: 30\r\n\r\n{}":                  persimbroken.EndFIN,
+			"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n": persimbroken.EndFIN,
+			"\r\n{}": persimbroken.EndReset,
+		} {
+			t.Run(strings.Join([]string{status, rest}, "/"), func(t *testing.T) {
+				client, server := newBrokenClient(t, func(*http.Request) persimbroken.Response {
+					return persimbroken.Response{Text: "HTTP/1.1 " + status + "\r\n" + rest, End: end, Delay: time.Millisecond}
+				})
+				_, err := client.call(t.Context(), http.MethodPost, "/p", nil)
+				require.ErrorIs(t, err, ErrUncertain)
+				objects, cleanup := NewObjects(server.Address())
+				defer cleanup()
+				_, err = objects.Write(t.Context(), "kind", platform.Object{Name: "n"})
+				require.ErrorIs(t, err, ErrUncertain)
+				_, err = objects.Get(t.Context(), "kind", "n")
+				require.ErrorIs(t, err, ErrUnavailable)
+			})
+		}
+	}
+}
--- a/persimplatform/client.go
+++ b/persimplatform/client.go
@@ -140,15 +140,15 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, trace.Wrap(transportError(method, err), "%s %s: %v", method, req.URL.Path, err)
+	}
 	if len(data) > maxResponseBytes {
 		return nil, trace.Wrap(outcomeUnknownError(method), "%s %s: response too long", method, req.URL.Path)
 	}
 	if statusErr := statusError(method, resp.StatusCode); statusErr != nil {
 		return data, trace.Wrap(statusErr)
 	}
-	if err != nil {
-		return nil, trace.Wrap(transportError(method, err), "%s %s: %v", method, req.URL.Path, err)
-	}
 	return data, nil
 }
 
