Soak: upstreams send malformed heads

A tenth of the responses of an upstream that misleads hosts now have a head with the status 000 or a blank in a name, and behind it what would be a response with another body.

--- a/persimsoak/mislead.go
+++ b/persimsoak/mislead.go
@@ -17,6 +17,8 @@
 	misleadingShare = 40
 	// endlessShare is the share of these, in hundredths, that have a head without end.
 	endlessShare = 10
+	// malformedShare is the share of these, in hundredths, that have a malformed head.
+	malformedShare = 10
 	// endlessLine is repeated in a head without end, for endlessTime at most.
 	endlessLine = "a: b\r\n"
 	endlessTime = 5 * time.Second
@@ -27,6 +29,12 @@
 	untrueStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 	// untrueSizes are the sizes of their bodies, in bytes, up to more than hosts buffer.
 	untrueSizes = []int{0, 800, 300 << 10}
+	// malformedHeads are the starts of heads that hosts must not take for responses.
+	malformedHeads = []string{
+		"HTTP/1.1 000 No Status\r\nContent-Length: 0\r\n",
+		"HTTP/1.1 200 OK\r\nX Field: 1\r\nContent-Length: 0\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n",
+	}
 )
 
 // mislead lets an upstream mislead hosts for the time of an event.
@@ -47,10 +55,14 @@
 		return nil, false
 	}
 	draw /= 100
-	if draw%100 < endlessShare {
+	kind := draw % 100
+	draw /= 100
+	switch {
+	case kind < endlessShare:
 		return respondEndless, true
+	case kind < endlessShare+malformedShare:
+		return respondMalformed(upstream, request, malformedHeads[draw%len(malformedHeads)]), true
 	}
-	draw /= 100
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(platform.HeaderRequestID, request)
 		w.Header().Set(platform.HeaderSignature, persimstand.Signature(upstream, request))
@@ -59,6 +71,21 @@
 	}, true
 }
 
+// respondMalformed returns a handler that writes a malformed head and, behind it, what would be a
+// response to the request with another body than its own.
+func respondMalformed(upstream, request, head string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		fields := platform.HeaderRequestID + ": " + request + "\r\n" +
+			platform.HeaderSignature + ": " + persimstand.Signature(upstream, request) + "\r\n"
+		_, _ = io.WriteString(conn, head+fields+"\r\nHTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\r\n\r\nwrong")
+	}
+}
+
 // respondEndless writes a head without end until the connection is closed.
 func respondEndless(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
