--- a/persimfront/broken_test.go
+++ b/persimfront/broken_test.go
@@ -41,8 +41,8 @@
 	second int
 }
 
-// newPatientHarness returns a harness without upstreams, whose requests have time enough on a busy
-// machine.
+// newPatientHarness returns a harness without upstreams, whose routes have timeouts that a busy
+// processor does not reach.
 func newPatientHarness(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t)
--- a/persimresponse/head.go
+++ b/persimresponse/head.go
@@ -42,15 +42,21 @@
 const (
 	stateVersion headState = iota
 	stateMinorVersion
+	// stateBlank expects the blank between the version and the status.
 	stateBlank
 	stateStatus
+	// stateStatusEnd expects what ends the status: a blank or the end of the line.
 	stateStatusEnd
+	// stateText is the text behind a status or the value of a field.
 	stateText
+	// stateTextCR expects the line feed behind the carriage return that ends a line.
 	stateTextCR
+	// stateLineStart expects a field, the continuation of one, or the empty line.
 	stateLineStart
 	stateName
+	// stateEndCR expects the line feed of the empty line.
 	stateEndCR
-	// stateBody means that the head has ended.
+	// stateBody follows the final head.
 	stateBody
 )
 
@@ -81,6 +87,7 @@
 	return nil
 }
 
+// next checks the next byte of the head.
 func (h *head) next(b byte) error {
 	switch h.state {
 	case stateVersion, stateMinorVersion, stateBlank, stateStatus, stateStatusEnd:
@@ -128,6 +135,7 @@
 	return nil
 }
 
+// checkStatus checks the value of the status.
 func (h *head) checkStatus() error {
 	if h.status < minStatus || h.status > maxStatus {
 		return malformed("status %03d", h.status)
@@ -186,6 +194,7 @@
 	return nil
 }
 
+// endName notes the name of a field that tells where the body ends.
 func (h *head) endName() error {
 	switch string(h.name) {
 	case "":
@@ -208,8 +217,8 @@
 	return nil
 }
 
-// end ends the head. It returns an error if its fields don't tell clearly where the body ends. An
-// interim head is followed by another one.
+// end ends the head. It returns an error if its fields leave open where the body ends. Another head
+// follows an interim one.
 func (h *head) end() error {
 	if h.encoding && h.length {
 		return malformed("both a length and a transfer encoding")
--- a/persimresponse/transport.go
+++ b/persimresponse/transport.go
@@ -59,6 +59,8 @@
 	return secured, nil
 }
 
+// RoundTrip sends a request, and lets the connection that serves it expect another head once it is
+// idle again.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn *Conn
 	trace := &httptrace.ClientTrace{
--- a/persimupstream/broken_test.go
+++ b/persimupstream/broken_test.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// TestRejectionThatBreaksOffDeniesNoRun guards against a call that runs twice, or that its caller is
-// told has not run or is invalid, after a rejection of which only a part came.
+// TestRejectionThatBreaksOffDeniesNoRun guards against a call that counts as not run, and runs again,
+// or as invalid, after a rejection of which only a part came.
 func TestRejectionThatBreaksOffDeniesNoRun(t *testing.T) {
 	for _, status := range []string{"503 Busy\r\n" + HeaderNotRun + ": true", "400 Bad Request", "404 Not Found"} {
 		for rest, end := range map[string]persimbroken.End{
