A test waits until the connection that is to be idle longest is idle

The log shows the request of the first connection ending after that of the second: a caller has its response before the host marks the connection as idle, so the order in which both become idle was left to the scheduler.

--- a/persimfront/evict_test.go
+++ b/persimfront/evict_test.go
@@ -128,6 +128,25 @@
 	requireNothingHeld(t, h)
 }
 
+// requireServedAndIdle requires that a number of connections have carried a request and become idle,
+// which a host records after the caller has its response.
+func requireServedAndIdle(t *testing.T, h *harness, count int) {
+	t.Helper()
+	f, ok := h.front.(*front)
+	require.True(t, ok)
+	require.Eventually(t, func() bool {
+		idle := 0
+		for _, c := range f.callerConns.list() {
+			c.mu.Lock()
+			if c.served && c.state == connIdle {
+				idle++
+			}
+			c.mu.Unlock()
+		}
+		return idle == count
+	}, 5*time.Second, time.Millisecond)
+}
+
 // TestConnectionsAboveTheLimit guards against callers that use up the descriptors: the
 // connection that has been idle longest is closed, and the new one is served.
 func TestConnectionsAboveTheLimit(t *testing.T) {
@@ -135,6 +154,7 @@
 	first, second := h.dial(t), h.dial(t)
 	firstReader, secondReader := bufio.NewReader(first), bufio.NewReader(second)
 	requireAnswer(t, first, firstReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
+	requireServedAndIdle(t, h, 1)
 	requireAnswer(t, second, secondReader, requestHead("GET", "/safe/")+"\r\n", http.StatusOK)
 	time.Sleep(2 * minIdleAge)
 	third := h.dial(t)
