--- a/review/stand-3/drill.go
+++ b/review/stand-3/drill.go
@@ -59,16 +59,7 @@
 	d.record.tell("holder of the duties: %s with fence %d", second.Holder, second.Fence)
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		d.store.setAway(true)
-		d.record.tell("the store is away")
-		time.Sleep(away)
-		d.store.restore(copied)
-		d.operatorWrites()
-		d.store.setAway(false)
-		for _, w := range d.workers {
-			w.register()
-		}
-		d.record.tell("the store is back from a copy that is %.1f s old", time.Since(copied.at).Seconds())
+		d.drill(copied, away)
 	}
 	time.Sleep(observe)
 	if err := <-restarted; err != nil {
@@ -78,3 +69,18 @@
 	d.record.tell("holder of the duties: %s with fence %d", last.Holder, last.Fence)
 	return checkOne(d.cloud.list()), nil
 }
+
+// drill lets the store be away for a moment and come back from a copy. What the operator and the
+// workers wrote is written again.
+func (d *deployment) drill(copied copyOf, away time.Duration) {
+	d.store.setAway(true)
+	d.record.tell("the store is away")
+	time.Sleep(away)
+	d.store.restore(copied)
+	d.operatorWrites()
+	for _, w := range d.workers {
+		w.register()
+	}
+	d.store.setAway(false)
+	d.record.tell("the store is back from a copy that is %.1f s old", time.Since(copied.at).Seconds())
+}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -42,7 +42,8 @@
 func (d *deployment) operatorWrites() { d.store.put("config", "main", configuration(d.version)) }
 
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
-	"drill": drill,
+	"drill":   drill,
+	"reports": reports,
 }
 
 func main() {
@@ -124,7 +125,7 @@
 		return 0, fmt.Errorf("not all hosts are ready")
 	}
 	var sending sync.WaitGroup
-	go d.clients.run(25*time.Millisecond, stop, &sending)
+	go d.clients.run(15*time.Millisecond, stop, &sending)
 	broken, err := play(d, os.Getenv("TROUBLE") != "0")
 	close(stop)
 	sending.Wait()
