--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -24,6 +24,7 @@
 	store     *store
 	cloud     *cloud
 	workers   []*worker
+	engines   *engines
 	processes []*process
 	clients   *clients
 	version   int
@@ -44,6 +45,7 @@
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
 	"drill":   drill,
 	"reports": reports,
+	"poison":  poison,
 }
 
 func main() {
@@ -108,6 +110,12 @@
 		d.workers = append(d.workers, w)
 		go w.beat(stop)
 	}
+	d.engines = &engines{store: d.store, record: r, ip: n.prefix + ".121", alive: map[string]*engine{}}
+	for range 8 {
+		if err := d.engines.start(); err != nil {
+			return 0, err
+		}
+	}
 	for i := range hosts {
 		p, err := newProcess(n, i+1, program, dir, storeAddress, cloudAddress)
 		if err != nil {
