--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -43,9 +43,10 @@
 func (d *deployment) operatorWrites() { d.store.put("config", "main", configuration(d.version)) }
 
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
-	"drill":   drill,
-	"reports": reports,
-	"poison":  poison,
+	"drill":       drill,
+	"reports":     reports,
+	"poison":      poison,
+	"poison-kill": poisonKill,
 }
 
 func main() {
--- a/review/stand-3/poison.go
+++ b/review/stand-3/poison.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -79,18 +80,7 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go func() {
-		ticker := time.NewTicker(25 * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case <-ticker.C:
-				go d.askModel(d.processes[rand.IntN(len(d.processes))], false)
-			}
-		}
-	}()
+	go d.askSoundly(stop)
 	time.Sleep(4 * time.Second)
 	for i := range deadlies {
 		if i > 0 {
@@ -99,22 +89,95 @@
 		go d.askModel(d.processes[i%len(d.processes)], true)
 	}
 	time.Sleep(3 * time.Second)
+	return d.checkDeadly(time.Time{}), nil
+}
+
+// askSoundly sends sound prompts until it is stopped.
+func (d *deployment) askSoundly(stop <-chan struct{}) {
+	ticker := time.NewTicker(25 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			go d.askModel(d.processes[rand.IntN(len(d.processes))], false)
+		}
+	}
+}
+
+// checkDeadly returns how the rule was broken by requests that arrived from a time on at which all
+// machines are in touch.
+func (d *deployment) checkDeadly(inTouch time.Time) []string {
+	fleet := d.engines
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	fleet.ended = true
 	if len(fleet.crashes) < knownAfter {
-		return nil, nil
+		d.record.tell("%d crashes", len(fleet.crashes))
+		return nil
 	}
 	known := fleet.crashes[knownAfter-1].Add(contactTime)
+	if inTouch.After(known) {
+		known = inTouch
+	}
 	late := 0
 	for _, at := range fleet.arrived {
 		if at.After(known) {
 			late++
 		}
 	}
-	d.record.tell("%d requests with the part reached workers later than %s after crash %d of %d", late, contactTime, knownAfter, len(fleet.crashes))
+	d.record.tell("%d requests with the part reached workers later than %s after crash %d of %d, from machines in touch",
+		late, contactTime, knownAfter, len(fleet.crashes))
 	if late > maxLateDeadly {
-		return []string{fmt.Sprintf("%d requests with a part that crashes workers reached workers later than contact_ms after the fifth crash", late)}, nil
+		return []string{fmt.Sprintf("%d requests with a part that crashes workers reached workers later than contact_ms after the fifth crash", late)}
+	}
+	return nil
+}
+
+// poisonKill sends prompts with the deadly part often enough that they are kept back, and kills all
+// processes once.
+func poisonKill(d *deployment, trouble bool) ([]string, error) {
+	const (
+		interval = 4 * time.Second
+		killAt   = 22 * time.Second
+		observe  = 25 * time.Second
+	)
+	fleet := d.engines
+	fleet.watched, fleet.deadly = deadlyPart, deadlyPart
+	stop := make(chan struct{})
+	defer close(stop)
+	go d.askSoundly(stop)
+	go func() {
+		time.Sleep(4 * time.Second)
+		for i := 0; ; i++ {
+			go d.askModel(d.processes[i%len(d.processes)], true)
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval):
+			}
+		}
+	}()
+	time.Sleep(killAt)
+	inTouch := time.Time{}
+	if trouble {
+		d.record.tell("all processes are killed")
+		for _, p := range d.processes {
+			p.signal(syscall.SIGKILL)
+		}
+		for _, p := range d.processes {
+			p.wait()
+		}
+		time.Sleep(time.Second)
+		for _, p := range d.processes {
+			if err := p.start(); err != nil {
+				return nil, err
+			}
+		}
+		d.record.tell("all processes are started")
+		inTouch = time.Now().Add(contactTime)
 	}
-	return nil, nil
+	time.Sleep(observe)
+	return d.checkDeadly(inTouch), nil
 }
