--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -45,7 +45,6 @@
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
 	"drill":       drill,
 	"reports":     reports,
-	"poison":      poison,
 	"poison-kill": poisonKill,
 }
 
--- a/review/stand-3/poison.go
+++ b/review/stand-3/poison.go
@@ -66,32 +66,6 @@
 	}
 }
 
-// poison sends sound prompts all the time, and one with the deadly part now and then. Nothing else
-// happens.
-func poison(d *deployment, trouble bool) ([]string, error) {
-	const (
-		interval = 16 * time.Second
-		deadlies = 6
-	)
-	fleet := d.engines
-	fleet.watched = deadlyPart
-	if trouble {
-		fleet.deadly = deadlyPart
-	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go d.askSoundly(stop)
-	time.Sleep(4 * time.Second)
-	for i := range deadlies {
-		if i > 0 {
-			time.Sleep(interval)
-		}
-		go d.askModel(d.processes[i%len(d.processes)], true)
-	}
-	time.Sleep(3 * time.Second)
-	return d.checkDeadly(time.Time{}), nil
-}
-
 // askSoundly sends sound prompts until it is stopped.
 func (d *deployment) askSoundly(stop <-chan struct{}) {
 	ticker := time.NewTicker(25 * time.Millisecond)
