Revisions of the store name its era; the stand-in store plays drills

Nothing read the header that names the era, and a revision was a bare integer, so that numbers of two eras were compared, and used as conditions, as if they were of one.

Change: persimrevision.Revision is era and number. platform reads the header, the client of the store takes it from each response, refusals too, and stamps what it decodes. A revision of a former era is refused as a condition without a call; a response of another era than the revision it was conditional on is an unknown outcome; a watch from a former era has expired; a list with pages of two eras is none. A header that is malformed, missing or lower than before is no news. Between hosts, and where versions are one number, a revision goes as its ordinal (era in the high bits, below 2^53). Lists of upstreams and orders of roll-outs compare revisions of their eras: a list of a new era is taken in at once in place of being left out until its number has passed the old one. persimstand.Store names an era and plays drills: away for a time, back from a copy, what the operator and the upstreams wrote is written again.

Checked: go test of persimrevision, platform, persimplatform, persimstand, persimduty; 69 s of persimentry's tests.

--- a/persimduty/lease.go
+++ b/persimduty/lease.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmonport.example/persimclock"
+	"persimmonport.example/persimrevision"
 )
 
 // LeaseRecord is the lease as stored.
@@ -38,7 +39,7 @@
 // I/O and is not safe for concurrent use.
 type Lease interface {
 	// Observe records the stored lease and its revision.
-	Observe(now persimclock.Instant, record LeaseRecord, revision int64)
+	Observe(now persimclock.Instant, record LeaseRecord, revision persimrevision.Revision)
 	// ObserveHeartbeat records a newer renewal that another host reported.
 	ObserveHeartbeat(now persimclock.Instant, holder string, fence, heartbeat int64)
 	// Latest returns the holder, fencing token and heartbeat of the newest renewal
@@ -48,10 +49,10 @@
 	SinceLastChange(now persimclock.Instant) time.Duration
 	// Propose returns the record to write and the revision it replaces, if the lease
 	// can be acquired or is due for renewal.
-	Propose(now persimclock.Instant) (LeaseRecord, int64, bool)
+	Propose(now persimclock.Instant) (LeaseRecord, persimrevision.Revision, bool)
 	// ConfirmWrite records that a proposed record was written; sent is when the write
 	// was started.
-	ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision int64)
+	ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision persimrevision.Revision)
 	// Held returns the fencing token while this host may act as the holder.
 	Held(now persimclock.Instant) (int64, bool)
 	// SetAcquireDelay sets how long this host leaves a free lease to other hosts.
@@ -60,7 +61,7 @@
 	Invalidate()
 	// Release returns the record that releases the lease and the revision it
 	// replaces, if this host holds the lease.
-	Release() (LeaseRecord, int64, bool)
+	Release() (LeaseRecord, persimrevision.Revision, bool)
 	// Record returns the record that was last read or written.
 	Record() LeaseRecord
 }
@@ -73,7 +74,7 @@
 	acquireDelay time.Duration
 	observed     bool
 	record       LeaseRecord
-	revision     int64
+	revision     persimrevision.Revision
 	lastChange   persimclock.Instant
 	lastRenewal  persimclock.Instant
 	holding      bool
@@ -89,8 +90,8 @@
 	return &lease{host: host, incarnation: incarnation, duration: duration}
 }
 
-func (l *lease) Observe(now persimclock.Instant, record LeaseRecord, revision int64) {
-	if l.observed && revision <= l.revision {
+func (l *lease) Observe(now persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) {
+	if l.observed && revision.Number <= l.revision.Number {
 		return
 	}
 	l.observed = true
@@ -131,20 +132,20 @@
 	return l.record.Holder == l.host && l.record.Incarnation == l.incarnation && !l.record.Released
 }
 
-func (l *lease) Propose(now persimclock.Instant) (LeaseRecord, int64, bool) {
+func (l *lease) Propose(now persimclock.Instant) (LeaseRecord, persimrevision.Revision, bool) {
 	if !l.observed {
-		return LeaseRecord{}, 0, false
+		return LeaseRecord{}, persimrevision.Revision{}, false
 	}
 	if l.ownsRecord() && l.holding {
 		if now.Sub(l.lastRenewal) < time.Duration(float64(l.duration)*renewAfterFraction) {
-			return LeaseRecord{}, 0, false
+			return LeaseRecord{}, persimrevision.Revision{}, false
 		}
 		next := l.record
 		next.Heartbeat++
 		return next, l.revision, true
 	}
 	if !l.canAcquire(now) {
-		return LeaseRecord{}, 0, false
+		return LeaseRecord{}, persimrevision.Revision{}, false
 	}
 	return LeaseRecord{
 		Holder:         l.host,
@@ -169,7 +170,7 @@
 
 func (l *lease) SetAcquireDelay(delay time.Duration) { l.acquireDelay = delay }
 
-func (l *lease) ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision int64) {
+func (l *lease) ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) {
 	l.observed = true
 	l.record = record
 	l.revision = revision
@@ -187,9 +188,9 @@
 
 func (l *lease) Invalidate() { l.holding = false }
 
-func (l *lease) Release() (LeaseRecord, int64, bool) {
+func (l *lease) Release() (LeaseRecord, persimrevision.Revision, bool) {
 	if !l.ownsRecord() || !l.holding {
-		return LeaseRecord{}, 0, false
+		return LeaseRecord{}, persimrevision.Revision{}, false
 	}
 	l.holding = false
 	next := l.record
--- a/persimduty/lease_test.go
+++ b/persimduty/lease_test.go
@@ -9,12 +9,17 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonport.example/persimclock"
+	"persimmonport.example/persimrevision"
 )
 
 const leaseDuration = 3 * time.Second
 
 func instant(d time.Duration) persimclock.Instant { return persimclock.Instant(d) }
 
+func inEra(era persimrevision.Era, number int64) persimrevision.Revision {
+	return persimrevision.Revision{Era: era, Number: number}
+}
+
 func TestLease(t *testing.T) {
 	free := LeaseRecord{}
 	taken := LeaseRecord{Holder: "b", Incarnation: "1", Fence: 4}
@@ -34,12 +39,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := NewLease("a", "1", leaseDuration)
-			l.Observe(instant(0), test.record, 9)
+			l.Observe(instant(0), test.record, inEra(0, 9))
 			record, revision, ok := l.Propose(instant(test.elapsed))
 			require.Equal(t, test.fence != 0, ok)
 			if ok {
 				require.Equal(t, test.fence, record.Fence)
-				require.EqualValues(t, 9, revision)
+				require.Equal(t, inEra(0, 9), revision)
 			}
 		})
 	}
@@ -55,7 +60,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := NewLease("a", "1", leaseDuration)
 			l.SetAcquireDelay(acquireDelay)
-			l.Observe(instant(0), record, 9)
+			l.Observe(instant(0), record, inEra(0, 9))
 			freeAt := time.Duration(0)
 			if name == "expired" {
 				freeAt = leaseDuration
@@ -70,16 +75,16 @@
 
 func TestHolderStopsBeforeLeaseExpires(t *testing.T) {
 	l := NewLease("a", "1", leaseDuration)
-	l.Observe(instant(0), LeaseRecord{}, 1)
+	l.Observe(instant(0), LeaseRecord{}, inEra(0, 1))
 	record, _, ok := l.Propose(instant(0))
 	require.True(t, ok)
-	l.ConfirmWrite(instant(0), record, 2)
+	l.ConfirmWrite(instant(0), record, inEra(0, 2))
 	fence, held := l.Held(instant(time.Second))
 	require.True(t, held)
 	require.EqualValues(t, 1, fence)
 	_, held = l.Held(instant(leaseDuration * 8 / 10))
 	require.False(t, held, "a suspended holder must not act")
-	l.Observe(instant(leaseDuration), LeaseRecord{Holder: "b", Fence: 2}, 3)
+	l.Observe(instant(leaseDuration), LeaseRecord{Holder: "b", Fence: 2}, inEra(0, 3))
 	_, held = l.Held(instant(leaseDuration))
 	require.False(t, held)
 }
@@ -103,9 +108,9 @@
 	calls       []dutyCall
 }
 
-func (s *simulation) write(random *rand.Rand, l Lease, now time.Duration, record LeaseRecord, revision int64) {
-	if revision != s.revision {
-		l.Observe(instant(now), s.record, s.revision)
+func (s *simulation) write(random *rand.Rand, l Lease, now time.Duration, record LeaseRecord, revision persimrevision.Revision) {
+	if revision.Number != s.revision {
+		l.Observe(instant(now), s.record, inEra(0, s.revision))
 		return
 	}
 	s.record = record
@@ -113,7 +118,7 @@
 	if random.Float64() < 0.1 {
 		return
 	}
-	l.ConfirmWrite(instant(now), record, s.revision)
+	l.ConfirmWrite(instant(now), record, inEra(0, s.revision))
 }
 
 func (s *simulation) step(random *rand.Rand, i int, now time.Duration) {
@@ -136,7 +141,7 @@
 		return
 	}
 	if random.Float64() < 0.3 {
-		l.Observe(instant(now), s.record, s.revision)
+		l.Observe(instant(now), s.record, inEra(0, s.revision))
 	}
 	if record, revision, ok := l.Propose(instant(now)); ok {
 		s.write(random, l, now, record, revision)
--- a/persimentry/entry_test.go
+++ b/persimentry/entry_test.go
@@ -59,7 +59,12 @@
 
 func newTestDeployment(t *testing.T, hosts int) *testDeployment {
 	t.Helper()
-	d := &testDeployment{t: t, store: persimstand.NewStore()}
+	return newTestDeploymentOn(t, hosts, persimstand.NewStore())
+}
+
+func newTestDeploymentOn(t *testing.T, hosts int, store *persimstand.Store) *testDeployment {
+	t.Helper()
+	d := &testDeployment{t: t, store: store}
 	d.putCatalogue(1, `"key"`, "")
 	d.addUpstream("u1")
 	for i := range hosts {
@@ -388,8 +393,8 @@
 	d.waitConnected()
 	d.store.Put(hostKind, "gone", []byte(`{"address":"127.0.0.1:1","incarnation":"1"}`))
 	h := d.hosts[0]
-	gone := platform.Object{Name: "gone", Revision: 1}
-	alive := platform.Object{Name: "host-1", Revision: 1}
+	gone := platform.Object{Name: "gone", Revision: numbered(1)}
+	alive := platform.Object{Name: "host-1", Revision: numbered(1)}
 	d.eventually(startTimeout, func() bool {
 		h.entry.mu.Lock()
 		defer h.entry.mu.Unlock()
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -198,7 +198,7 @@
 func (e *entry) rosterSnapshot(now persimclock.Instant) *persimwire.Snapshot {
 	span := e.rosterState.outages.current
 	return &persimwire.Snapshot{
-		Version:    e.rosterState.revision,
+		Version:    e.rosterState.revision.Ordinal(),
 		AgeMs:      encodeProofAge(now.Sub(e.rosterState.confirmedAt)),
 		Digest:     e.rosterState.digest,
 		ReadableMs: now.Sub(span.since).Milliseconds(),
@@ -216,7 +216,7 @@
 	if request.GetCatalogue().GetVersion() < e.rawCatalogue.version {
 		state.Catalogue.Items = []*persimwire.Item{{Name: platform.ConfigName, Value: e.rawCatalogue.spec}}
 	}
-	if request.GetRoster().GetVersion() < e.rosterState.revision && request.GetRoster().GetDigest() != e.rosterState.digest {
+	if request.GetRoster().GetVersion() < e.rosterState.revision.Ordinal() && request.GetRoster().GetDigest() != e.rosterState.digest {
 		for _, object := range e.rosterState.objects {
 			state.Roster.Items = append(state.Roster.Items, &persimwire.Item{Name: object.Name, Value: object.Spec})
 		}
--- a/persimentry/hub_test.go
+++ b/persimentry/hub_test.go
@@ -46,7 +46,7 @@
 // setHolder makes a host the holder of the lease, as reported by another host.
 func setHolder(e *entry, holder string) {
 	now := persimclock.Now()
-	e.lease.Observe(now, persimduty.LeaseRecord{Holder: "former", Fence: 1}, 1)
+	e.lease.Observe(now, persimduty.LeaseRecord{Holder: "former", Fence: 1}, numbered(1))
 	e.lease.ObserveHeartbeat(now, holder, 2, 1)
 }
 
--- a/persimentry/lease.go
+++ b/persimentry/lease.go
@@ -13,6 +13,7 @@
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplatform"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/platform"
 )
 
@@ -144,7 +145,7 @@
 
 // writeLease stores a lease record; sent is when the write was started. If the write
 // fails, it reads the stored record.
-func (e *entry) writeLease(ctx context.Context, sent persimclock.Instant, record persimduty.LeaseRecord, revision int64) {
+func (e *entry) writeLease(ctx context.Context, sent persimclock.Instant, record persimduty.LeaseRecord, revision persimrevision.Revision) {
 	spec, err := json.Marshal(record)
 	if err != nil {
 		klog.ErrorS(nil, "lease: not written", "error", persimlog.ErrorText(err))
--- a/persimentry/limits_test.go
+++ b/persimentry/limits_test.go
@@ -22,7 +22,7 @@
 	t.Cleanup(cleanup)
 	e, ok := built.(*entry)
 	require.True(t, ok)
-	e.applyRoster(listOf(t, "u1", "u2"), 1, readSpan(persimclock.Now()), "store")
+	e.applyRoster(listOf(t, "u1", "u2"), numbered(1), readSpan(persimclock.Now()), "store")
 	return e
 }
 
@@ -34,7 +34,7 @@
 	require.Equal(t, []string{"u2"}, told.usable())
 	other.applyExchange(told.exchangeState(nil, "host-1"))
 	require.Equal(t, []string{"u2"}, other.usable())
-	told.applyRoster(listOf(t, "u1", "u2"), 2, readSpan(persimclock.Now()), "store")
+	told.applyRoster(listOf(t, "u1", "u2"), numbered(2), readSpan(persimclock.Now()), "store")
 	require.Equal(t, []string{"u2"}, told.usable(), "the list does not say so")
 }
 
--- a/persimentry/oddentry_test.go
+++ b/persimentry/oddentry_test.go
@@ -84,7 +84,7 @@
 	objects = append(objects,
 		platform.Object{Name: "odd", Spec: []byte(`{"service":7,"x":"` + junk + `"}`)},
 		platform.Object{Name: "u2", Spec: []byte(`{"service":"s","address":"127.0.0.1:9","zone":"a","slots":1,"state":"ready","x":"` + junk + `"}`)})
-	e.applyRoster(objects, 7, readSpan(now), "store")
+	e.applyRoster(objects, numbered(7), readSpan(now), "store")
 	require.ElementsMatch(t, []string{"u1", "u2"}, e.usable())
 	reply := e.exchangeState(newClockedEntry(t, &now).exchangeState(nil, "host-0"), "host-1")
 	size := 0
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -8,6 +8,7 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
 	"persimmonport.example/persimlog"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/persimwire"
 	"persimmonport.example/platform"
 )
@@ -102,5 +103,5 @@
 	for _, item := range roster.GetItems() {
 		objects = append(objects, platform.Object{Name: item.GetName(), Spec: item.GetValue()})
 	}
-	e.applyRoster(objects, roster.GetVersion(), span, received.GetHost())
+	e.applyRoster(objects, persimrevision.FromOrdinal(roster.GetVersion()), span, received.GetHost())
 }
--- a/persimentry/rolloutfault_test.go
+++ b/persimentry/rolloutfault_test.go
@@ -205,7 +205,7 @@
 		next := r.holder().entry
 		fence, held := next.heldFence()
 		require.True(t, held)
-		object.Revision--
+		object.Revision.Number--
 		next.writeRolloutStatus(t.Context(), fence, "s", object, persimrollout.Status{State: persimrollout.StateRolledBack, Target: "v2"})
 		require.Equal(t, platform.RolloutActive, r.state())
 	})
--- a/persimentry/rolloutlease_test.go
+++ b/persimentry/rolloutlease_test.go
@@ -8,6 +8,7 @@
 
 	"persimmonport.example/persimclock"
 	"persimmonport.example/persimduty"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/persimsettings"
 	"persimmonport.example/persimstand"
 	"persimmonport.example/persimwire"
@@ -29,7 +30,7 @@
 }
 
 func (e *entry) holdLease(fence int64) {
-	e.lease.ConfirmWrite(persimclock.Now(), persimduty.LeaseRecord{Holder: "h", Incarnation: e.incarnation, Fence: fence}, 1)
+	e.lease.ConfirmWrite(persimclock.Now(), persimduty.LeaseRecord{Holder: "h", Incarnation: e.incarnation, Fence: fence}, numbered(1))
 }
 
 // TestLateRenewalKeepsTheOrderOfAnnouncements guards against a holder whose announcements are
@@ -60,7 +61,7 @@
 	e := newLeaseHolder(t, store, 7)
 	fence, held := e.followLease()
 	require.True(t, held)
-	_, err := e.followRollouts(t.Context(), fence, 0)
+	_, err := e.followRollouts(t.Context(), fence, persimrevision.Revision{})
 	require.NoError(t, err)
 	require.True(t, e.rollouts.objectsRead)
 	require.True(t, e.rollouts.recordsRead)
--- a/persimentry/rollouts.go
+++ b/persimentry/rollouts.go
@@ -245,7 +245,7 @@
 func decodeRolloutObject(object platform.Object) persimrollout.Object {
 	spec, err := platform.DecodeRollout(object.Spec)
 	decoded := persimrollout.Object{Order: persimrollout.Order{
-		Service: spec.Service, Target: spec.Target, Revision: object.Revision, Duration: spec.Duration,
+		Service: spec.Service, Target: spec.Target, Revision: object.Revision.Ordinal(), Duration: spec.Duration,
 	}}
 	if err != nil {
 		decoded.Problem = "the spec can't be read: " + err.Error()
--- a/persimentry/rolloutstore.go
+++ b/persimentry/rolloutstore.go
@@ -11,6 +11,7 @@
 
 	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplatform"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/persimrollout"
 	"persimmonport.example/platform"
 )
@@ -77,12 +78,12 @@
 // watchRollouts follows the operators' objects while the host holds the lease.
 func (e *entry) watchRollouts(ctx context.Context) {
 	store := &dependency{name: "store, rollouts"}
-	revision := int64(0)
+	var revision persimrevision.Revision
 	fence := int64(0)
 	for ctx.Err() == nil {
 		held, ok := e.followLease()
 		if !ok || held != fence {
-			fence, revision = held, 0
+			fence, revision = held, persimrevision.Revision{}
 		}
 		delay := rolloutRetryDelay
 		if ok {
@@ -99,21 +100,22 @@
 
 // followRollouts lists the objects if the revision is zero, or else waits for changes after
 // it. It returns the revision from which to go on.
-func (e *entry) followRollouts(ctx context.Context, fence, revision int64) (int64, error) {
-	if revision == 0 {
+func (e *entry) followRollouts(ctx context.Context, fence int64, revision persimrevision.Revision) (persimrevision.Revision, error) {
+	none := persimrevision.Revision{}
+	if revision == none {
 		return e.listRollouts(ctx, fence)
 	}
 	changes, err := e.objects.Watch(ctx, platform.RolloutKind, revision, rolloutWatchWait)
 	if errors.Is(err, persimplatform.ErrExpired) {
-		klog.InfoS("rollouts: history is gone, the objects are listed", "revision", revision)
-		return 0, nil
+		klog.InfoS("rollouts: history is gone, the objects are listed", "revision", revision.String())
+		return none, nil
 	}
 	if err != nil {
-		return 0, err
+		return none, err
 	}
 	// Whether a removed object was created again is told by a list alone.
 	if len(changes.Removed) > 0 || len(changes.Objects) == 0 {
-		return 0, nil
+		return none, nil
 	}
 	for _, object := range changes.Objects {
 		e.applyRolloutObject(fence, object)
@@ -122,18 +124,18 @@
 }
 
 // listRollouts reads the operators' objects, and the records once under each fencing token.
-func (e *entry) listRollouts(ctx context.Context, fence int64) (int64, error) {
+func (e *entry) listRollouts(ctx context.Context, fence int64) (persimrevision.Revision, error) {
 	began := time.Now()
 	if !e.recordsRead(fence) {
 		records, _, err := e.objects.List(ctx, rolloutRecordKind)
 		if err != nil {
-			return 0, err
+			return persimrevision.Revision{}, err
 		}
 		e.applyRolloutRecords(fence, began, records)
 	}
 	objects, revision, err := e.objects.List(ctx, platform.RolloutKind)
 	if err != nil {
-		return 0, err
+		return persimrevision.Revision{}, err
 	}
 	e.applyRolloutObjects(fence, began, objects)
 	return revision, nil
@@ -239,7 +241,7 @@
 		}
 	}
 	s := e.rolloutServiceLocked(time.Now(), service)
-	if s.object.Name == object.Name && object.Revision <= s.object.Revision || s.object.Name != "" && s.object.Name != object.Name {
+	if s.object.Name == object.Name && !object.Revision.After(s.object.Revision) || s.object.Name != "" && s.object.Name != object.Name {
 		return
 	}
 	s.setObject(object)
@@ -274,20 +276,20 @@
 		return
 	}
 	s.object.writing, s.object.writtenAt = false, time.Now()
-	if err == nil && (object.Name == "" || object.Revision >= s.object.Revision) {
+	if err == nil && (object.Name == "" || !s.object.Revision.After(object.Revision)) {
 		s.setObject(object)
 		r.wakeUp()
 	}
 }
 
-func logStatusWrite(service string, status persimrollout.Status, revision, fence int64, err error) {
+func logStatusWrite(service string, status persimrollout.Status, revision persimrevision.Revision, fence int64, err error) {
 	if err != nil {
 		klog.ErrorS(nil, "rollout status not written", "service", service, "state", status.State, "target", status.Target,
-			"revision", revision, "fence", fence, "error", persimlog.ErrorText(err))
+			"revision", revision.String(), "fence", fence, "error", persimlog.ErrorText(err))
 		return
 	}
 	klog.InfoS("rollout status written", "service", service, "state", status.State, "target", status.Target,
-		"revision", revision, "fence", fence)
+		"revision", revision.String(), "fence", fence)
 }
 
 // writeRolloutRecord writes the record of a service, or deletes it if it is nil.
--- a/persimentry/snapshots.go
+++ b/persimentry/snapshots.go
@@ -11,6 +11,7 @@
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
 	"persimmonport.example/persimlog"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/platform"
 )
 
@@ -77,7 +78,7 @@
 
 // rosterState is the list of upstreams as stored and how current it is.
 type rosterState struct {
-	revision    int64
+	revision    persimrevision.Revision
 	confirmedAt persimclock.Instant
 	// firstRead is when the first list was applied.
 	firstRead time.Time
@@ -190,11 +191,11 @@
 }
 
 // applyRoster applies a list of upstreams that was the newest one at the end of a span.
-func (e *entry) applyRoster(objects []platform.Object, revision int64, span readableSpan, source string) {
+func (e *entry) applyRoster(objects []platform.Object, revision persimrevision.Revision, span readableSpan, source string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.confirmReadable(span, source)
-	if span.until < e.rosterState.confirmedAt || revision < e.rosterState.revision {
+	if span.until < e.rosterState.confirmedAt || e.rosterState.revision.After(revision) {
 		return
 	}
 	if e.rosterState.firstRead.IsZero() {
--- a/persimentry/snapshots_test.go
+++ b/persimentry/snapshots_test.go
@@ -10,6 +10,7 @@
 
 	"persimmonport.example/persimcatalog"
 	"persimmonport.example/persimclock"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/persimsettings"
 	"persimmonport.example/platform"
 )
@@ -17,6 +18,11 @@
 // testContact is the time after which a host that was cut off counts as healthy.
 const testContact = 3 * time.Second
 
+// numbered returns a revision of a store that names no era.
+func numbered(number int64) persimrevision.Revision {
+	return persimrevision.Revision{Number: number}
+}
+
 // listOf returns the objects of a list of upstreams.
 func listOf(t *testing.T, ids ...string) []platform.Object {
 	t.Helper()
@@ -72,10 +78,10 @@
 		t.Run(name, func(t *testing.T) {
 			now := start
 			e := newClockedEntry(t, &now)
-			e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(now), "store")
+			e.applyRoster(listOf(t, "stays", "leaves"), numbered(1), readSpan(now), "store")
 			now = now.Add(2 * registrationTTL)
 			e.recordFailedRead(now)
-			e.applyRoster(listOf(t, "stays"), 2, readSpan(now), "store")
+			e.applyRoster(listOf(t, "stays"), numbered(2), readSpan(now), "store")
 			require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable(), "it may register again")
 			now = now.Add(reregisterGrace / 2)
 			check(e, now)
@@ -102,14 +108,14 @@
 	arrange := func(t *testing.T, now *persimclock.Instant) *entry {
 		t.Helper()
 		e := newClockedEntry(t, now)
-		e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(start), "store")
+		e.applyRoster(listOf(t, "stays", "leaves"), numbered(1), readSpan(start), "store")
 		for at := start.Add(time.Second); at < healed; at = at.Add(700 * time.Millisecond) {
 			e.recordFailedRead(at)
 		}
 		*now = read
-		e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(read), "store")
+		e.applyRoster(listOf(t, "stays", "leaves"), numbered(1), readSpan(read), "store")
 		*now = read.Add(500 * time.Millisecond)
-		e.applyRoster(listOf(t, "stays"), 2, readSpan(*now), "store")
+		e.applyRoster(listOf(t, "stays"), numbered(2), readSpan(*now), "store")
 		require.ElementsMatch(t, []string{"stays", "leaves"}, e.usable(), "the store may have been away")
 		return e
 	}
@@ -124,21 +130,21 @@
 		now := start
 		e := arrange(t, &now)
 		other := newClockedEntry(t, &now)
-		other.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(start.Add(-time.Minute)), "store")
+		other.applyRoster(listOf(t, "stays", "leaves"), numbered(1), readSpan(start.Add(-time.Minute)), "store")
 		for at := start.Add(-time.Minute); at < now; at = at.Add(time.Second) {
 			other.confirmRoster(readSpan(at), "store")
 		}
-		other.applyRoster(listOf(t, "stays"), 2, readSpan(now), "store")
+		other.applyRoster(listOf(t, "stays"), numbered(2), readSpan(now), "store")
 		e.applySnapshots(other.exchangeState(e.exchangeState(nil, "host-1"), "host-0"), now)
 		require.Equal(t, []string{"stays"}, e.usable())
 	})
 	t.Run("also when it lists the one that left first", func(t *testing.T) {
 		now := start
 		e := newClockedEntry(t, &now)
-		e.applyRoster(listOf(t, "stays", "leaves"), 1, readSpan(start), "store")
+		e.applyRoster(listOf(t, "stays", "leaves"), numbered(1), readSpan(start), "store")
 		e.recordFailedRead(start.Add(time.Second))
 		now = read
-		e.applyRoster(listOf(t, "stays"), 2, readableSpan{since: start.Add(-time.Minute), until: read}, "host-1")
+		e.applyRoster(listOf(t, "stays"), numbered(2), readableSpan{since: start.Add(-time.Minute), until: read}, "host-1")
 		require.Equal(t, []string{"stays"}, e.usable())
 	})
 }
@@ -154,7 +160,7 @@
 		hosts[i] = newClockedEntry(t, nil)
 		hosts[i].clock = persimclock.Now
 		require.NoError(t, hosts[i].applyCatalogue(fmt.Appendf(nil, catalogueFormat, 1, "", `"key"`), read, "store"))
-		hosts[i].applyRoster(listOf(t, "u1"), 1, readSpan(read), "store")
+		hosts[i].applyRoster(listOf(t, "u1"), numbered(1), readSpan(read), "store")
 	}
 	for i := range rounds {
 		from, to := hosts[i%2], hosts[(i+1)%2]
--- a/persimentry/usage.go
+++ b/persimentry/usage.go
@@ -12,6 +12,7 @@
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplatform"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/platform"
 )
 
@@ -19,7 +20,7 @@
 // as stored.
 type storedReports struct {
 	Windows  map[int64]persimduty.Counts `json:"windows"`
-	revision int64
+	revision persimrevision.Revision
 	loaded   bool
 	// accepted holds the windows that the platform accepted from this host.
 	accepted map[int64]bool
--- a/persimplatform/broken_test.go
+++ b/persimplatform/broken_test.go
@@ -39,9 +39,9 @@
 					})
 					for range end.Runs() {
 						client.http.CloseIdleConnections()
-						data, err := client.call(t.Context(), http.MethodPost, "/p", bytes.Repeat([]byte("x"), size))
+						received, err := client.call(t.Context(), http.MethodPost, "/p", bytes.Repeat([]byte("x"), size))
 						if !c.Whole(end) {
-							require.ErrorIs(t, err, ErrUncertain, "taken: %q", data)
+							require.ErrorIs(t, err, ErrUncertain, "taken: %q", received.body)
 							continue
 						}
 						// The client may drop a whole response to a request that it could not send.
@@ -50,7 +50,7 @@
 							continue
 						}
 						require.NoError(t, err)
-						require.Equal(t, persimbroken.Body, string(data))
+						require.Equal(t, persimbroken.Body, string(received.body))
 					}
 				})
 			}
@@ -68,8 +68,8 @@
 					return persimbroken.Response{Text: c.Text("") + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"}
 				})
 				began := time.Now()
-				data, err := client.call(t.Context(), method, "/p", nil)
-				require.ErrorIs(t, err, want, "taken: %q", data)
+				received, err := client.call(t.Context(), method, "/p", nil)
+				require.ErrorIs(t, err, want, "taken: %q", received.body)
 				require.Less(t, time.Since(began), time.Second)
 				require.Equal(t, 1, server.Requests())
 			})
--- a/persimplatform/client.go
+++ b/persimplatform/client.go
@@ -115,41 +115,49 @@
 	return max(1, int(limit*burstSeconds))
 }
 
-// call sends one request within the default timeout and returns the response body, or
-// an error of this package.
-func (c *client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// response is what a call returned. Its parts may also be present beside an error.
+type response struct {
+	header http.Header
+	body   []byte
+}
+
+// call sends one request within the default timeout and returns the response, or an error of
+// this package.
+func (c *client) call(ctx context.Context, method, path string, body []byte) (response, error) {
 	return c.callWithin(ctx, c.timeout, method, path, body, http.Header{})
 }
 
 // callWithin is call with an explicit timeout and request headers.
-func (c *client) callWithin(ctx context.Context, timeout time.Duration, method, path string, body []byte, header http.Header) ([]byte, error) {
+func (c *client) callWithin(ctx context.Context, timeout time.Duration, method, path string, body []byte, header http.Header) (response, error) {
 	if !c.limiter(method).Allow() {
-		return nil, trace.Wrap(ErrThrottled)
+		return response{}, trace.Wrap(ErrThrottled)
 	}
 	c.observe(callName(method, path))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := c.request(ctx, method, path, body, header)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return response{}, trace.Wrap(err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.http.CloseIdleConnections()
-		return nil, trace.Wrap(transportError(method, err), "%s %s: %v", method, req.URL.Path, err)
+		return response{}, trace.Wrap(transportError(method, err), "%s %s: %v", method, req.URL.Path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	received := response{header: resp.Header}
 	if err != nil {
-		return nil, trace.Wrap(transportError(method, err), "%s %s: %v", method, req.URL.Path, err)
+		return received, trace.Wrap(transportError(method, err), "%s %s: %v", method, req.URL.Path, err)
 	}
 	if len(data) > maxResponseBytes {
-		return nil, trace.Wrap(outcomeUnknownError(method), "%s %s: response too long", method, req.URL.Path)
+		return received, trace.Wrap(outcomeUnknownError(method), "%s %s: response too long", method, req.URL.Path)
 	}
+	received.body = data
 	if statusErr := statusError(method, resp.StatusCode); statusErr != nil {
-		return data, trace.Wrap(statusErr)
+		return received, trace.Wrap(statusErr)
 	}
-	return data, nil
+	return received, nil
 }
 
 // callName returns the method and the kind of a call, without the object's name.
--- a/persimplatform/cloud.go
+++ b/persimplatform/cloud.go
@@ -94,7 +94,7 @@
 func New(base string, opts ...Option) (Platform, func()) {
 	defaults := []Option{WithRates(DefaultReadsPerSecond, DefaultWritesPerSecond)}
 	c, cleanup := newClient(base, DefaultCallTimeout, append(defaults, opts...))
-	return platformClient{Store: NewStore(objects{c}, ValueKind), Cloud: cloud{c}}, cleanup
+	return platformClient{Store: NewStore(newObjects(c), ValueKind), Cloud: cloud{c}}, cleanup
 }
 
 // cloud is a client for the cloud API, which has no published specification: its paths
@@ -134,11 +134,11 @@
 		}
 		body = encoded
 	}
-	data, err := c.call(ctx, method, path, body)
+	received, err := c.call(ctx, method, path, body)
 	if err != nil || response == nil {
 		return err
 	}
-	if err := json.Unmarshal(data, response); err != nil {
+	if err := json.Unmarshal(received.body, response); err != nil {
 		return trace.Wrap(outcomeUnknownError(method), "%s %s: %v", method, path, err)
 	}
 	return nil
--- a/persimplatform/duties.go
+++ b/persimplatform/duties.go
@@ -70,7 +70,7 @@
 func (d duties) post(ctx context.Context, fence Fence, path string, body []byte) error {
 	header := http.Header{}
 	platform.SetFence(header, fence.Holder, fence.Token)
-	data, err := d.callWithin(ctx, d.timeout, http.MethodPost, path, body, header)
-	klog.V(1).InfoS("duty call", "path", path, "fence", fence.Token, "answer", string(data), "error", err)
+	received, err := d.callWithin(ctx, d.timeout, http.MethodPost, path, body, header)
+	klog.V(1).InfoS("duty call", "path", path, "fence", fence.Token, "answer", string(received.body), "error", err)
 	return err
 }
--- a/persimplatform/store.go
+++ b/persimplatform/store.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/platform"
 )
 
@@ -20,7 +21,8 @@
 // Object is a versioned value stored at the platform.
 type Object struct {
 	Name string
-	// Version is the version that was read, or zero for an object not yet created.
+	// Version is the ordinal of the revision that was read, or zero for an object not yet
+	// created.
 	Version uint64
 	Value   []byte
 }
@@ -68,7 +70,7 @@
 // EncodeValue returns the platform object that holds a value.
 func EncodeValue(o Object) (platform.Object, error) {
 	spec, err := json.Marshal(o.Value)
-	return platform.Object{Name: o.Name, Revision: int64(o.Version), Spec: spec}, trace.Wrap(err)
+	return platform.Object{Name: o.Name, Revision: persimrevision.FromOrdinal(int64(o.Version)), Spec: spec}, trace.Wrap(err)
 }
 
 // DecodeValue returns the value that a platform object holds.
@@ -77,7 +79,7 @@
 	if err := json.Unmarshal(o.Spec, &value); err != nil {
 		return Object{}, trace.Wrap(ErrUnavailable, "object %s holds no value: %v", o.Name, err)
 	}
-	return Object{Name: o.Name, Version: uint64(o.Revision), Value: value}, nil
+	return Object{Name: o.Name, Version: uint64(o.Revision.Ordinal()), Value: value}, nil
 }
 
 func (s *store) Get(ctx context.Context, name string) (Object, error) {
@@ -108,13 +110,13 @@
 	if err != nil {
 		return Object{}, err
 	}
-	return object.WithVersion(uint64(stored.Revision)), nil
+	return object.WithVersion(uint64(stored.Revision.Ordinal())), nil
 }
 
 func (s *store) Await(ctx context.Context, name string, after uint64) (Object, error) {
-	revision := int64(after)
+	revision := persimrevision.FromOrdinal(int64(after))
 	for {
-		if revision == 0 {
+		if revision == (persimrevision.Revision{}) {
 			object, err := s.Get(ctx, name)
 			if err == nil && object.Version > after {
 				return object, nil
@@ -124,15 +126,15 @@
 			}
 		}
 		changes, err := s.objects.Watch(ctx, s.kind, revision, watchWait)
-		if errors.Is(err, ErrExpired) && revision > 0 {
-			revision = 0
+		if errors.Is(err, ErrExpired) && revision != (persimrevision.Revision{}) {
+			revision = persimrevision.Revision{}
 			continue
 		}
 		if err != nil {
 			return Object{}, err
 		}
 		for _, object := range changes.Objects {
-			if object.Name == name && uint64(object.Revision) > after {
+			if object.Name == name && uint64(object.Revision.Ordinal()) > after {
 				return DecodeValue(object)
 			}
 		}
--- a/persimstand/platform.go
+++ b/persimstand/platform.go
@@ -181,11 +181,11 @@
 	}
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
-	if p.store.kinds[persimplatform.ValueKind][object.Name].Revision != encoded.Revision {
+	if p.store.kinds[persimplatform.ValueKind][object.Name].Revision.Number != encoded.Revision.Number {
 		return persimplatform.Object{}, false
 	}
 	stored := p.store.put(persimplatform.ValueKind, object.Name, encoded.Spec)
-	return object.WithVersion(uint64(stored.Revision)), true
+	return object.WithVersion(uint64(stored.Revision.Ordinal())), true
 }
 
 func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Hosts()) }
--- a/persimstand/status_test.go
+++ b/persimstand/status_test.go
@@ -31,7 +31,7 @@
 	ordered.Status = []byte(`{"state":"active"}`)
 	written, err := objects.WriteStatus(t.Context(), "rollouts", ordered)
 	require.NoError(t, err)
-	require.Greater(t, written.Revision, ordered.Revision)
+	require.True(t, written.Revision.After(ordered.Revision))
 	require.JSONEq(t, `{"target":"v2"}`, string(written.Spec))
 	t.Run("old revision", func(t *testing.T) {
 		current, err := objects.WriteStatus(t.Context(), "rollouts", ordered)
--- a/persimstand/store.go
+++ b/persimstand/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimrevision"
 	"persimmonport.example/platform"
 )
 
@@ -14,9 +15,16 @@
 	// fault returns the faults injected for all callers.
 	fault func() Fault
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is named in each response of the object API; zero names none.
+	era persimrevision.Era
+	// away is set while a drill keeps the object API from responding.
+	away     bool
 	revision int64
 	kinds    map[string]map[string]platform.Object
+	// external holds what the operator and upstreams have stored, by kind and name, and nil for
+	// what they have removed.
+	external map[string]map[string][]byte
 	// history holds the latest changes, oldest first.
 	history []change
 	// changed is closed on the next change.
@@ -25,33 +33,56 @@
 	fences     map[string]int64
 	holders    map[fenceUse]string
 	usage      map[int64]map[string]int64
+	reports    []StoreReport
 	violations []string
 	orders     []StoreOrder
 	calls      map[string]int
 }
 
-// NewStore returns an empty store.
-func NewStore() *Store {
-	return &Store{
+// StoreOption configures a Store.
+type StoreOption func(*Store)
+
+// WithEra sets the first era of the store. A store of era zero names none until a drill.
+func WithEra(era persimrevision.Era) StoreOption {
+	return func(s *Store) { s.era = era }
+}
+
+// NewStore returns an empty store of the first era.
+func NewStore(opts ...StoreOption) *Store {
+	s := &Store{
 		fault:    func() Fault { return Fault{} },
 		changed:  make(chan struct{}),
+		era:      1,
 		revision: 1,
 		kinds:    map[string]map[string]platform.Object{},
+		external: map[string]map[string][]byte{},
 		faults:   map[string]StoreFault{},
 		fences:   map[string]int64{},
 		holders:  map[fenceUse]string{},
 		usage:    map[int64]map[string]int64{},
 		calls:    map[string]int{},
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Put stores a spec unconditionally, as the operator and upstreams do.
 func (s *Store) Put(kind, name string, spec []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordExternal(kind, name, spec)
 	s.put(kind, name, spec)
 }
 
+func (s *Store) recordExternal(kind, name string, spec []byte) {
+	if s.external[kind] == nil {
+		s.external[kind] = map[string][]byte{}
+	}
+	s.external[kind][name] = spec
+}
+
 // PutUpstream stores the registration of an upstream.
 func (s *Store) PutUpstream(u persimcatalog.Upstream) error {
 	spec, err := platform.EncodeUpstream(u)
@@ -66,6 +97,7 @@
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordExternal(kind, name, nil)
 	s.remove(kind, name)
 }
 
@@ -107,12 +139,17 @@
 	return s.calls[caller]
 }
 
+// current returns the revision of the last change.
+func (s *Store) current() persimrevision.Revision {
+	return persimrevision.Revision{Era: s.era, Number: s.revision}
+}
+
 func (s *Store) put(kind, name string, spec []byte) platform.Object {
 	s.revision++
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = map[string]platform.Object{}
 	}
-	object := platform.Object{Name: name, Revision: s.revision, Spec: spec, Status: s.kinds[kind][name].Status}
+	object := platform.Object{Name: name, Revision: s.current(), Spec: spec, Status: s.kinds[kind][name].Status}
 	s.kinds[kind][name] = object
 	s.recordChange(change{kind: kind, object: object})
 	return object
@@ -121,7 +158,7 @@
 // putStatus replaces the status of an object.
 func (s *Store) putStatus(kind string, object platform.Object, status []byte) platform.Object {
 	s.revision++
-	object.Revision, object.Status = s.revision, status
+	object.Revision, object.Status = s.current(), status
 	s.kinds[kind][object.Name] = object
 	s.recordChange(change{kind: kind, object: object})
 	return object
@@ -130,7 +167,7 @@
 func (s *Store) remove(kind, name string) {
 	s.revision++
 	delete(s.kinds[kind], name)
-	s.recordChange(change{kind: kind, object: platform.Object{Name: name, Revision: s.revision}, removed: true})
+	s.recordChange(change{kind: kind, object: platform.Object{Name: name, Revision: s.current()}, removed: true})
 }
 
 // read returns the version of an object that was current before the injected lag.
--- a/persimstand/storeduty.go
+++ b/persimstand/storeduty.go
@@ -25,6 +25,21 @@
 	Reclaimable bool
 }
 
+// StoreReport is a usage report that the store accepted.
+type StoreReport struct {
+	Holder string
+	Fence  int64
+	Window int64
+	Counts map[string]int64
+}
+
+// Reports returns the accepted usage reports in their order, repeated ones too.
+func (s *Store) Reports() []StoreReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.reports)
+}
+
 // Usage returns the accepted usage reports by window.
 func (s *Store) Usage() map[int64]map[string]int64 {
 	s.mu.Lock()
@@ -59,7 +74,7 @@
 	s.holders[fenceUse{r.URL.Path, fence}] = holder
 	s.fences[r.URL.Path] = fence
 	if strings.HasSuffix(r.URL.Path, platform.UsagePath) {
-		s.serveUsage(w, body)
+		s.serveUsage(w, holder, fence, body)
 		return
 	}
 	order := StoreOrder{Holder: holder, Fence: fence}
@@ -72,7 +87,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (s *Store) serveUsage(w http.ResponseWriter, body []byte) {
+func (s *Store) serveUsage(w http.ResponseWriter, holder string, fence int64, body []byte) {
 	window, counts, err := platform.DecodeUsage(body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -82,6 +97,7 @@
 		s.violations = append(s.violations, "a window was reported twice with other counts")
 	}
 	s.usage[window] = counts
+	s.reports = append(s.reports, StoreReport{Holder: holder, Fence: fence, Window: window, Counts: counts})
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/persimstand/storefault.go
+++ b/persimstand/storefault.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"persimmonport.example/platform"
 )
 
 // StoreFault is a fault that a store injects into the calls of one caller.
@@ -36,6 +38,9 @@
 		s.mu.Lock()
 		fault := s.faults[caller]
 		s.calls[caller]++
+		if _, isObject := platform.DecodeObjectPath(r.URL.Path); isObject {
+			s.setEra(w)
+		}
 		s.mu.Unlock()
 		switch fault {
 		case StoreFaultUnavailable:
--- a/persimstand/storeserve.go
+++ b/persimstand/storeserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -26,10 +27,18 @@
 	// The response is written without the lock, since a caller may read it slowly.
 	buffered := &bufferedResponse{header: http.Header{}, status: http.StatusOK}
 	s.serveLocked(buffered, r, key, ok, body)
+	maps.Copy(w.Header(), buffered.header)
 	w.WriteHeader(buffered.status)
 	_, _ = w.Write(buffered.body)
 }
 
+// setEra names the era in a response of the object API.
+func (s *Store) setEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		platform.SetEra(w.Header(), s.era)
+	}
+}
+
 // bufferedResponse is a response that has not been sent yet.
 type bufferedResponse struct {
 	header http.Header
@@ -53,6 +62,10 @@
 		s.serveDuty(w, r, body)
 		return
 	}
+	if s.away {
+		panic(http.ErrAbortHandler)
+	}
+	s.setEra(w)
 	switch {
 	case r.Method == http.MethodGet && key.Name == "":
 		s.serveList(w, key.Kind, platform.DecodeAfter(r.URL.Query()))
@@ -75,7 +88,7 @@
 		}
 	}
 	slices.Sort(names)
-	page := platform.List{Revision: s.revision, More: len(names) > storePageSize}
+	page := platform.List{Revision: s.current(), More: len(names) > storePageSize}
 	for _, name := range names[:min(len(names), storePageSize)] {
 		page.Objects = append(page.Objects, s.kinds[kind][name])
 	}
@@ -95,7 +108,7 @@
 
 func (s *Store) serveDelete(w http.ResponseWriter, key platform.ObjectKey, revision int64) {
 	object, ok := s.kinds[key.Kind][key.Name]
-	if !ok || revision != 0 && revision != object.Revision {
+	if !ok || revision != 0 && revision != object.Revision.Number {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -104,13 +117,13 @@
 }
 
 func (s *Store) servePut(w http.ResponseWriter, key platform.ObjectKey, create bool, body []byte) {
-	object, err := platform.DecodeObject(body)
+	object, err := platform.DecodeObject(s.era, body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	current, exists := s.kinds[key.Kind][object.Name]
-	if create && exists || !create && !exists || object.Revision != 0 && object.Revision != current.Revision {
+	if create && exists || !create && !exists || object.Revision.Number != 0 && object.Revision.Number != current.Revision.Number {
 		data, err := platform.EncodeObject(current)
 		writeResponse(w, http.StatusConflict, data, err)
 		return
@@ -126,14 +139,14 @@
 
 func (s *Store) serveStatus(w http.ResponseWriter, r *http.Request, body []byte) {
 	key, _ := platform.DecodeStatusPath(r.URL.Path)
-	update, err := platform.DecodeObject(body)
+	update, err := platform.DecodeObject(s.era, body)
 	current, exists := s.kinds[key.Kind][key.Name]
 	switch {
 	case err != nil || update.Name != key.Name:
 		w.WriteHeader(http.StatusBadRequest)
 	case !exists:
 		w.WriteHeader(http.StatusNotFound)
-	case update.Revision != current.Revision:
+	case update.Revision.Number != current.Revision.Number:
 		data, err := platform.EncodeObject(current)
 		writeResponse(w, http.StatusConflict, data, err)
 	default:
