The lease knows the era of the store: no fencing token is given twice

Hosts that remembered the lease ignored what they read, since its revision was not higher than the one they remembered: the holder's renewals got 409 for ever, and only a host started since, which remembers nothing, could take the lease.

Change, in persimduty: the token of an acquisition is the ordinal of the revision that it replaces, era in the high bits. At most one write on a revision succeeds in an era, and it counts only if the response names the era in which the revision was read, so no two hosts share a token and later ones are higher, whoever remembers; never below the stored one + 1, which is also the rule for a store without an era. A record names the era in which the lease was acquired. In a later era it proves neither a release nor that nobody holds the lease: others wait for the lease duration from their first read, and the host that held it when the era began, within 0.9 of the duration after its last renewal, writes it again at once. Hosts tell each other when they met the era. The refusal of an earlier token no longer ends the tenure of a newer one.

--- a/persimduty/lease.go
+++ b/persimduty/lease.go
@@ -15,7 +15,10 @@
 	Holder string `json:"holder"`
 	// Incarnation identifies one start of the holder's process.
 	Incarnation string `json:"incarnation"`
-	// Fence is the holder's fencing token, incremented with each change of holder.
+	// Era is the era of the store in which the holder acquired the lease. In a later era the
+	// record is part of an older copy, and the lease may have had other holders since.
+	Era persimrevision.Era `json:"era,omitempty"`
+	// Fence is the holder's fencing token, which increases with each acquisition.
 	Fence int64 `json:"fence"`
 	// Heartbeat is incremented with each renewal.
 	Heartbeat int64 `json:"beat"`
@@ -33,12 +36,27 @@
 	// holder act; it is well below 1, since other hosts measure expiry only from the
 	// time at which they observe the renewal.
 	holdFraction = 0.7
+	// continueFraction is the fraction of the lease duration after a renewal within which no
+	// other host has acquired the lease, with a margin for clocks of different speed.
+	continueFraction = 0.9
 )
 
 // Lease decides when this host acquires, renews and uses the lease. It performs no
 // I/O and is not safe for concurrent use.
+//
+// The store may come back from an older copy and then begins a new era. A record, a revision
+// or a report of a former era is then no evidence of who holds the lease: the lease is read
+// again, and only the host that held it when the era began acquires it at once. Others wait for
+// the lease duration, since a holder that does not reach the store cannot know of the new era.
 type Lease interface {
-	// Observe records the stored lease and its revision.
+	// ObserveEra records that a host met an era of the store at an instant. The era had begun by
+	// then.
+	ObserveEra(metAt persimclock.Instant, era persimrevision.Era)
+	// Era returns the newest era of the store and the earliest instant at which a host is known
+	// to have met it.
+	Era() (persimrevision.Era, persimclock.Instant)
+	// Observe records the stored lease and its revision. What was read in a former era is
+	// ignored.
 	Observe(now persimclock.Instant, record LeaseRecord, revision persimrevision.Revision)
 	// ObserveHeartbeat records a newer renewal that another host reported.
 	ObserveHeartbeat(now persimclock.Instant, holder string, fence, heartbeat int64)
@@ -47,18 +65,28 @@
 	Latest() (holder string, fence, heartbeat int64)
 	// SinceLastChange returns the time since the lease was last observed to change.
 	SinceLastChange(now persimclock.Instant) time.Duration
+	// Outdated reports whether the lease was last read in a former era.
+	Outdated() bool
 	// Propose returns the record to write and the revision it replaces, if the lease
 	// can be acquired or is due for renewal.
 	Propose(now persimclock.Instant) (LeaseRecord, persimrevision.Revision, bool)
-	// ConfirmWrite records that a proposed record was written; sent is when the write
-	// was started.
-	ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision persimrevision.Revision)
+	// ConfirmWrite records that a proposed record was written at a revision; sent is when the
+	// write was started. It reports whether the write counts: not if it was carried out in
+	// another era than that of the revision it replaced.
+	ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) bool
 	// Held returns the fencing token while this host may act as the holder.
 	Held(now persimclock.Instant) (int64, bool)
+	// Tenure returns the number of the current or last tenure of this host: the time in which
+	// it is the only holder, also beyond the end of an era. The first one is 1.
+	Tenure() int
+	// FormerTenuresEnd returns the instant from which on no host acts under a lease of an era
+	// before the newest one.
+	FormerTenuresEnd() persimclock.Instant
 	// SetAcquireDelay sets how long this host leaves a free lease to other hosts.
 	SetAcquireDelay(delay time.Duration)
-	// Invalidate stops this host from acting until it acquires the lease again.
-	Invalidate()
+	// Invalidate stops this host from acting under a fencing token until it acquires the
+	// lease again.
+	Invalidate(fence int64)
 	// Release returns the record that releases the lease and the revision it
 	// replaces, if this host holds the lease.
 	Release() (LeaseRecord, persimrevision.Revision, bool)
@@ -72,12 +100,15 @@
 	duration    time.Duration
 
 	acquireDelay time.Duration
-	observed     bool
-	record       LeaseRecord
-	revision     persimrevision.Revision
-	lastChange   persimclock.Instant
-	lastRenewal  persimclock.Instant
-	holding      bool
+	// era is the newest era of the store that this host knows. It had begun by eraMetAt.
+	era      persimrevision.Era
+	eraMetAt persimclock.Instant
+	// record is the lease as last read or written at revision.
+	observed   bool
+	record     LeaseRecord
+	revision   persimrevision.Revision
+	lastChange persimclock.Instant
+	tenure     tenure
 	// reportedHolder, reportedFence and reportedHeartbeat are the newest renewal that
 	// other hosts reported.
 	reportedHolder    string
@@ -85,27 +116,56 @@
 	reportedHeartbeat int64
 }
 
+// tenure is a time in which this host is the only holder.
+type tenure struct {
+	number int
+	active bool
+	fence  int64
+	// era is that of the last write that confirmed the tenure, which was started at renewedAt.
+	era       persimrevision.Era
+	renewedAt persimclock.Instant
+}
+
 // NewLease returns the lease state of a host that has not read the lease yet.
 func NewLease(host, incarnation string, duration time.Duration) Lease {
 	return &lease{host: host, incarnation: incarnation, duration: duration}
 }
 
+func (l *lease) fraction(f float64) time.Duration { return time.Duration(float64(l.duration) * f) }
+
+func (l *lease) ObserveEra(metAt persimclock.Instant, era persimrevision.Era) {
+	if era > l.era || era == l.era && metAt < l.eraMetAt {
+		l.era, l.eraMetAt = era, metAt
+	}
+}
+
+func (l *lease) Era() (persimrevision.Era, persimclock.Instant) { return l.era, l.eraMetAt }
+
 func (l *lease) Observe(now persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) {
-	if l.observed && revision.Number <= l.revision.Number {
+	l.ObserveEra(now, revision.Era)
+	if revision.Era < l.era || l.observed && !revision.After(l.revision) {
 		return
 	}
 	l.observed = true
 	l.record = record
 	l.revision = revision
 	l.lastChange = now
-	if !l.ownsRecord() {
-		l.holding = false
+	switch {
+	case !l.recordIsCurrent():
+		l.tenure.active = l.continuesTenure()
+	case !l.ownsRecord():
+		l.tenure.active = false
+	case l.tenure.active:
+		// The write of this record has succeeded, although its response was lost.
+		l.tenure.fence = record.Fence
+		l.tenure.era = revision.Era
 	}
 }
 
 func (l *lease) ObserveHeartbeat(now persimclock.Instant, holder string, fence, heartbeat int64) {
 	newer := fence > l.reportedFence || fence == l.reportedFence && heartbeat > l.reportedHeartbeat
-	if !l.observed || !newer || fence < l.record.Fence || fence == l.record.Fence && heartbeat <= l.record.Heartbeat {
+	formerEra := persimrevision.FromOrdinal(fence).Era < l.era
+	if !l.observed || !newer || formerEra || fence < l.record.Fence || fence == l.record.Fence && heartbeat <= l.record.Heartbeat {
 		return
 	}
 	l.reportedHolder = holder
@@ -128,36 +188,63 @@
 	return now.Sub(l.lastChange)
 }
 
+func (l *lease) Outdated() bool { return l.observed && l.revision.Era < l.era }
+
+// recordIsCurrent reports whether the record was written in the era in which it was read.
+func (l *lease) recordIsCurrent() bool { return l.record.Era == l.revision.Era }
+
 func (l *lease) ownsRecord() bool {
-	return l.record.Holder == l.host && l.record.Incarnation == l.incarnation && !l.record.Released
+	return l.recordIsCurrent() && l.record.Holder == l.host && l.record.Incarnation == l.incarnation && !l.record.Released
 }
 
 func (l *lease) Propose(now persimclock.Instant) (LeaseRecord, persimrevision.Revision, bool) {
-	if !l.observed {
+	if !l.observed || l.Outdated() {
 		return LeaseRecord{}, persimrevision.Revision{}, false
 	}
-	if l.ownsRecord() && l.holding {
-		if now.Sub(l.lastRenewal) < time.Duration(float64(l.duration)*renewAfterFraction) {
+	if l.ownsRecord() && l.tenure.active {
+		if now.Sub(l.tenure.renewedAt) < l.fraction(renewAfterFraction) {
 			return LeaseRecord{}, persimrevision.Revision{}, false
 		}
 		next := l.record
 		next.Heartbeat++
 		return next, l.revision, true
 	}
-	if !l.canAcquire(now) {
+	if !l.continuesTenure() && !l.canAcquire(now) {
 		return LeaseRecord{}, persimrevision.Revision{}, false
 	}
 	return LeaseRecord{
 		Holder:         l.host,
 		Incarnation:    l.incarnation,
-		Fence:          l.record.Fence + 1,
+		Era:            l.revision.Era,
+		Fence:          l.nextFence(),
 		PreviousHolder: l.record.Holder,
 	}, l.revision, true
 }
 
+// nextFence returns the fencing token of an acquisition that replaces the record at its revision.
+// It needs no memory of earlier tokens: at most one write on condition of a revision succeeds in
+// an era, and later eras and revisions have higher ordinals. A store that names no era never goes
+// back to an older copy, so there the stored token is enough.
+func (l *lease) nextFence() int64 {
+	next := l.record.Fence + 1
+	if l.revision.Era == 0 {
+		return next
+	}
+	return max(next, l.revision.Ordinal())
+}
+
+// continuesTenure reports whether this host held the lease when the newest era began, and no host
+// has acquired it since. In the former era others had to wait for the lease duration after the
+// last renewal, and the era ended before that.
+func (l *lease) continuesTenure() bool {
+	return l.tenure.active && !l.recordIsCurrent() && l.revision.Era == l.era && l.tenure.era < l.era &&
+		l.eraMetAt.Sub(l.tenure.renewedAt) < l.fraction(continueFraction)
+}
+
 // canAcquire reports whether this host may acquire the lease now. A released lease
 // stays closed until it expires to the host that released it and to the holder
-// before that one, so that two hosts do not alternate within one lease duration.
+// before that one, so that two hosts do not alternate within one lease duration. A record of a
+// former era proves neither a release nor that there is no holder.
 func (l *lease) canAcquire(now persimclock.Instant) bool {
 	elapsed := now.Sub(l.lastChange)
 	if elapsed > l.duration+l.acquireDelay {
@@ -165,34 +252,67 @@
 	}
 	vacant := l.record.Holder == "" ||
 		l.record.Released && l.record.PreviousHolder != l.host && l.record.Holder != l.host
-	return vacant && elapsed >= l.acquireDelay
+	return l.recordIsCurrent() && vacant && elapsed >= l.acquireDelay
 }
 
 func (l *lease) SetAcquireDelay(delay time.Duration) { l.acquireDelay = delay }
 
-func (l *lease) ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) {
+func (l *lease) ConfirmWrite(sent persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) bool {
+	if record.Era != revision.Era || l.observed && l.revision.Era == revision.Era && l.revision.After(revision) {
+		return false
+	}
+	l.confirmTenure(sent, record, revision.Era)
+	if revision.Era < l.era {
+		// The lease was held when the era ended, and has to be read in the new one.
+		return true
+	}
 	l.observed = true
 	l.record = record
 	l.revision = revision
 	l.lastChange = sent
-	l.lastRenewal = sent
-	l.holding = l.ownsRecord()
+	return true
+}
+
+// confirmTenure records a write of the lease that was started at an instant.
+func (l *lease) confirmTenure(sent persimclock.Instant, record LeaseRecord, era persimrevision.Era) {
+	if record.Released {
+		l.tenure.active = false
+		return
+	}
+	number := l.tenure.number
+	if !l.tenure.active {
+		number++
+	}
+	l.tenure = tenure{number: number, active: true, fence: record.Fence, era: era, renewedAt: sent}
 }
 
 func (l *lease) Held(now persimclock.Instant) (int64, bool) {
-	if !l.holding || now.Sub(l.lastRenewal) > time.Duration(float64(l.duration)*holdFraction) {
+	if !l.tenure.active || now.Sub(l.tenure.renewedAt) > l.fraction(holdFraction) {
 		return 0, false
 	}
-	return l.record.Fence, true
+	return l.tenure.fence, true
 }
 
-func (l *lease) Invalidate() { l.holding = false }
+func (l *lease) Tenure() int { return l.tenure.number }
+
+func (l *lease) FormerTenuresEnd() persimclock.Instant {
+	return l.eraMetAt.Add(l.fraction(holdFraction))
+}
+
+func (l *lease) Invalidate(fence int64) {
+	if fence == l.tenure.fence {
+		l.tenure.active = false
+	}
+}
 
 func (l *lease) Release() (LeaseRecord, persimrevision.Revision, bool) {
-	if !l.ownsRecord() || !l.holding {
+	if !l.tenure.active {
+		return LeaseRecord{}, persimrevision.Revision{}, false
+	}
+	l.tenure.active = false
+	if !l.ownsRecord() || l.Outdated() {
 		return LeaseRecord{}, persimrevision.Revision{}, false
 	}
-	l.holding = false
 	next := l.record
 	next.Heartbeat++
 	next.Released = true
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -162,6 +162,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	holder, fence, beat := e.lease.Latest()
+	era, eraMetAt := e.lease.Era()
 	state := &persimwire.Exchange{
 		Host:          e.deployment.Host,
 		Incarnation:   e.incarnation,
@@ -178,6 +179,8 @@
 		Catalogue:     &persimwire.Snapshot{Version: e.rawCatalogue.version, AgeMs: unknownAge},
 		Roster:        e.rosterSnapshot(now),
 		Rollouts:      rollouts,
+		Era:           int64(era),
+		EraAgeMs:      now.Sub(eraMetAt).Milliseconds(),
 	}
 	if known {
 		state.Catalogue.AgeMs = encodeProofAge(age)
--- a/persimentry/lease.go
+++ b/persimentry/lease.go
@@ -22,11 +22,13 @@
 	var lastRead time.Time
 	store := &dependency{name: "store, lease"}
 	every(ctx, leaseInterval, func(ctx context.Context) {
+		e.observeEra()
 		_, held := e.heldFence()
 		if !held && !e.mayHoldLease() {
 			return
 		}
-		if !held && e.renewalOverdue() && time.Since(lastRead) >= leaseReadInterval {
+		due := !held && e.renewalOverdue() || e.leaseOutdated()
+		if due && time.Since(lastRead) >= leaseReadInterval {
 			lastRead = time.Now()
 			store.observe(e.readLease(ctx))
 		}
@@ -34,6 +36,22 @@
 	})
 }
 
+// observeEra tells the lease the newest era of the store.
+func (e *entry) observeEra() {
+	era := e.objects.Era()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease.ObserveEra(era.MetAt, era.Era)
+}
+
+// leaseOutdated reports whether the store has come back from an older copy since the lease was
+// read.
+func (e *entry) leaseOutdated() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease.Outdated()
+}
+
 // mayHoldLease reports whether this host is to acquire a free lease, once it knows the
 // other hosts. In a large deployment only the hubs do, to which the counts of all hosts
 // come.
@@ -86,7 +104,7 @@
 func (e *entry) readLease(ctx context.Context) error {
 	object, err := e.objects.Get(ctx, dutyKind, leaseName)
 	if errors.Is(err, persimplatform.ErrNotFound) {
-		return e.createLease(ctx)
+		return e.createLease(ctx, object.Revision)
 	}
 	if err != nil {
 		return err
@@ -95,13 +113,13 @@
 }
 
 // createLease stores a lease without a holder, so that it can be acquired by a
-// conditional update.
-func (e *entry) createLease(ctx context.Context) error {
+// conditional update. It names no era, since a former era may have had a holder.
+func (e *entry) createLease(ctx context.Context, missingAt persimrevision.Revision) error {
 	spec, err := json.Marshal(persimduty.LeaseRecord{})
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: leaseName, Spec: spec})
+	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: leaseName, Revision: missingAt, Spec: spec})
 	if err != nil {
 		return err
 	}
@@ -115,7 +133,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	outdated := e.lease.Outdated()
 	e.lease.Observe(persimclock.Now(), record, object.Revision)
+	if outdated {
+		_, held := e.lease.Held(persimclock.Now())
+		klog.InfoS("lease read in a new era", "revision", object.Revision.String(), "holder", record.Holder, "fence", record.Fence,
+			"acquiredIn", record.Era, "released", record.Released, "held", held)
+	}
 	return nil
 }
 
@@ -138,13 +162,17 @@
 	}
 	e.writeLease(ctx, sent, record, revision)
 	if _, held := e.heldFence(); held && previous.Fence != record.Fence {
-		klog.InfoS("lease taken", "fence", record.Fence, "former", previous.Holder)
+		e.mu.Lock()
+		tenure := e.lease.Tenure()
+		e.mu.Unlock()
+		klog.InfoS("lease taken", "fence", record.Fence, "era", record.Era, "revision", revision.String(), "tenure", tenure,
+			"former", previous.Holder, "formerEra", previous.Era, "formerFence", previous.Fence)
 		e.loadReports(ctx)
 	}
 }
 
-// writeLease stores a lease record; sent is when the write was started. If the write
-// fails, it reads the stored record.
+// writeLease stores a lease record in place of a revision; sent is when the write was started. If
+// the write fails, it reads the stored record.
 func (e *entry) writeLease(ctx context.Context, sent persimclock.Instant, record persimduty.LeaseRecord, revision persimrevision.Revision) {
 	spec, err := json.Marshal(record)
 	if err != nil {
@@ -152,16 +180,19 @@
 		return
 	}
 	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: leaseName, Revision: revision, Spec: spec})
-	if err != nil {
-		klog.InfoS("lease: write failed", "fence", record.Fence, "error", persimlog.ErrorText(err))
-		if errRead := e.readLease(ctx); errRead != nil {
-			klog.V(1).InfoS("lease: not read", "error", persimlog.ErrorText(errRead))
-		}
+	if err == nil && e.confirmLease(sent, record, object.Revision) {
 		return
 	}
+	klog.InfoS("lease: write failed", "fence", record.Fence, "revision", revision.String(), "error", persimlog.ErrorText(err))
+	if errRead := e.readLease(ctx); errRead != nil {
+		klog.V(1).InfoS("lease: not read", "error", persimlog.ErrorText(errRead))
+	}
+}
+
+func (e *entry) confirmLease(sent persimclock.Instant, record persimduty.LeaseRecord, revision persimrevision.Revision) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease.ConfirmWrite(sent, record, object.Revision)
+	return e.lease.ConfirmWrite(sent, record, revision)
 }
 
 func (e *entry) ReleaseLease(ctx context.Context) {
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -35,7 +35,10 @@
 		p.demand = demand
 		e.peers[received.GetHost()] = p
 	}
-	e.lease.ObserveHeartbeat(persimclock.Now(), received.GetHolder(), received.GetFence(), received.GetBeat())
+	now := persimclock.Now()
+	// The time on the way makes the era younger than it is, never older.
+	e.lease.ObserveEra(now.Add(-time.Duration(received.GetEraAgeMs())*time.Millisecond), persimrevision.Era(received.GetEra()))
+	e.lease.ObserveHeartbeat(now, received.GetHolder(), received.GetFence(), received.GetBeat())
 	e.noteHolder(received)
 	e.applyLeaving(received)
 }
--- a/persimentry/rolloutfault_test.go
+++ b/persimentry/rolloutfault_test.go
@@ -196,7 +196,7 @@
 	object, ok := r.store.Get(platform.RolloutKind, "s")
 	require.True(t, ok)
 	former.entry.mu.Lock()
-	former.entry.lease.Invalidate()
+	former.entry.lease.Invalidate(fence)
 	former.entry.mu.Unlock()
 	former.entry.writeRolloutStatus(t.Context(), fence, "s", object, persimrollout.Status{State: persimrollout.StateRolledBack, Target: "v2"})
 	require.Equal(t, platform.RolloutActive, r.state())
--- a/persimentry/rolloutlease_test.go
+++ b/persimentry/rolloutlease_test.go
@@ -40,7 +40,7 @@
 	_, held := e.followLease()
 	require.True(t, held)
 	service := e.rolloutServiceLocked(time.Now(), "s")
-	e.lease.Invalidate()
+	e.lease.Invalidate(7)
 	_, held = e.followLease()
 	require.False(t, held)
 	e.holdLease(7)
--- a/persimentry/usage.go
+++ b/persimentry/usage.go
@@ -105,7 +105,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if errors.Is(err, persimplatform.ErrFenced) {
-		e.lease.Invalidate()
+		e.lease.Invalidate(fence)
 		return
 	}
 	if err != nil {
