Usage reports survive an older copy of the store: repeated or left out

The copy is from before the object was written. The next holder, killed within the window, did not find the window there and summed it up anew, without the counts that it had lost.

Change: persimduty.Reports decides what to do with a window. The record names the era in which it was written and the first window from which on it is complete. A record of a former era is not: the host that held the lease when the era began goes on with its own memory, any other one takes windows as open only if they end after the last moment at which a holder of a former era may act, repeats exactly what it knows, and leaves the rest out. Counts that are stored are told to other hosts, three if so many are in touch, before they go to the platform, for at most 1 s; hosts pass them on to those that lack them. Counts whose write was not confirmed are not summed anew. Retained windows are dropped by number: windows of the future from a host whose clock is ahead dropped those in use.

No more calls to the store: one read when the lease is taken, one write a window, as before.

--- a/persimduty/usage.go
+++ b/persimduty/usage.go
@@ -1,9 +1,6 @@
 package persimduty
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // retainedWindows is the number of past windows whose counts are retained; a window
 // must be reported within two windows of its end.
@@ -72,7 +69,7 @@
 
 // prune deletes the windows that are too old to be reported.
 func prune(windows map[int64]Counts, newest int64) {
-	maps.DeleteFunc(windows, func(window int64, _ Counts) bool { return window < newest-retainedWindows })
+	pruneBefore(windows, newest-retainedWindows)
 }
 
 func (u *usage) Sum(window int64) Counts {
--- a/persimentry/drill_test.go
+++ b/persimentry/drill_test.go
@@ -84,6 +84,14 @@
 	return h, ok
 }
 
+func (d *drillTest) names() []string {
+	names := make([]string, 0, drillHosts)
+	for i := range drillHosts {
+		names = append(names, fmt.Sprint("host-", i))
+	}
+	return names
+}
+
 // kill ends a host without any notice to others.
 func (d *drillTest) kill(name string) {
 	d.mu.Lock()
@@ -168,6 +176,50 @@
 	}
 }
 
+// Guards against a second report of a window with other counts, after the store came back from a
+// copy without the first one. All but the holder are killed within the window and lack counts.
+func TestReportsAfterADrill(t *testing.T) {
+	for name, test := range map[string]struct {
+		drills int
+		// killed are the hosts that are killed beside the drill.
+		killed func(d *drillTest, holder string) []string
+	}{
+		"the holder lives":      {1, func(*drillTest, string) []string { return nil }},
+		"two drills":            {2, func(*drillTest, string) []string { return nil }},
+		"the holder is killed":  {1, func(_ *drillTest, holder string) []string { return []string{holder} }},
+		"all hosts are killed":  {1, func(d *drillTest, _ string) []string { return d.names() }},
+		"killed and two drills": {2, func(d *drillTest, _ string) []string { return d.names() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrillTest(t)
+			before := d.waitReport(startTimeout, "the holder", func(r persimstand.StoreReport) bool { return r.Holder != "" })
+			window := time.Now().UnixNano()/int64(testBounds().UsageWindow) + 1
+			time.Sleep(time.Until(d.windowStart(window).Add(testBounds().UsageWindow / 3)))
+			for _, name := range d.names() {
+				if name != before.Holder {
+					d.restart(name)
+				}
+			}
+			time.Sleep(time.Until(d.windowStart(window + 1)))
+			copied := d.store.Copy()
+			d.waitReport(testBounds().UsageLate, "the window", func(r persimstand.StoreReport) bool { return r.Window == window })
+			require.Equal(t, before.Holder, d.lastReport().Holder)
+			killed := test.killed(d, before.Holder)
+			for _, name := range killed {
+				d.kill(name)
+			}
+			for range test.drills {
+				d.drill(copied)
+			}
+			for _, name := range killed {
+				d.restart(name)
+			}
+			d.requireDutiesGoOn()
+		})
+	}
+}
+
 // Guards against a change for a store that names no era: its fencing tokens rise by one, and a
 // free lease is acquired at once.
 func TestStoreWithoutAnEra(t *testing.T) {
--- a/persimentry/entry.go
+++ b/persimentry/entry.go
@@ -90,18 +90,20 @@
 	draining  chan struct{}
 	drainOnce sync.Once
 
-	mu           sync.Mutex
-	roster       *persimcatalog.Roster
-	rosterState  rosterState
-	peers        map[string]peer
-	usage        persimduty.Usage
-	lease        persimduty.Lease
-	reports      storedReports
-	planners     map[string]persimfleet.UpstreamPlanner
-	rawCatalogue rawCatalogue
-	rollouts     rolloutState
-	toldHolder   toldHolder
-	startedAt    time.Time
+	mu          sync.Mutex
+	roster      *persimcatalog.Roster
+	rosterState rosterState
+	peers       map[string]peer
+	usage       persimduty.Usage
+	lease       persimduty.Lease
+	reports     persimduty.Reports
+	// reportsStoredAt is when this host last stored the counts of a window.
+	reportsStoredAt time.Time
+	planners        map[string]persimfleet.UpstreamPlanner
+	rawCatalogue    rawCatalogue
+	rollouts        rolloutState
+	toldHolder      toldHolder
+	startedAt       time.Time
 	// listedAt is when the first list of hosts was read.
 	listedAt time.Time
 	hubState
@@ -137,7 +139,7 @@
 		usage:       persimduty.NewUsage(deployment.Bounds.UsageWindow),
 		lease:       persimduty.NewLease(deployment.Host, incarnation, deployment.Bounds.Lease),
 		planners:    map[string]persimfleet.UpstreamPlanner{},
-		reports:     storedReports{Windows: map[int64]persimduty.Counts{}},
+		reports:     persimduty.NewReports(),
 		rollouts:    newRolloutState(),
 	}
 	e.rosterState.outages.contact = deployment.Bounds.Contact
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -192,6 +192,7 @@
 		e.addSnapshotItems(state, request)
 	}
 	e.addPrefills(state)
+	e.addReports(state, receiver)
 	e.addState(state, request, receiver, local)
 	return state
 }
--- a/persimentry/hosts.go
+++ b/persimentry/hosts.go
@@ -50,6 +50,8 @@
 	failures     int
 	lastExchange time.Time
 	exchanging   bool
+	// knownReports are the windows whose reported counts the peer knows.
+	knownReports map[int64]bool
 }
 
 // pollHosts registers this host and reads the records of the other hosts.
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -33,8 +33,10 @@
 	if p, ok := e.peers[received.GetHost()]; ok {
 		p.lastHeard = time.Now()
 		p.demand = demand
+		p.knownReports = decodeKnownReports(received)
 		e.peers[received.GetHost()] = p
 	}
+	e.reports.Learn(decodeWindows(received.GetUsageReports()))
 	now := persimclock.Now()
 	// The time on the way makes the era younger than it is, never older.
 	e.lease.ObserveEra(now.Add(-time.Duration(received.GetEraAgeMs())*time.Millisecond), persimrevision.Era(received.GetEra()))
--- a/persimentry/usage.go
+++ b/persimentry/usage.go
@@ -5,49 +5,61 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"persimmonport.example/persimclock"
 	"persimmonport.example/persimduty"
 	"persimmonport.example/persimlog"
 	"persimmonport.example/persimplatform"
-	"persimmonport.example/persimrevision"
 	"persimmonport.example/platform"
 )
 
-// storedReports holds the counts of the windows that were or may have been reported,
-// as stored.
-type storedReports struct {
-	Windows  map[int64]persimduty.Counts `json:"windows"`
-	revision persimrevision.Revision
-	loaded   bool
-	// accepted holds the windows that the platform accepted from this host.
-	accepted map[int64]bool
-}
-
 // loadReports reads the usage reports that earlier holders of the lease have stored.
 func (e *entry) loadReports(ctx context.Context) {
 	object, err := e.objects.Get(ctx, dutyKind, usageName)
 	if err != nil && !errors.Is(err, persimplatform.ErrNotFound) {
 		klog.InfoS("usage: earlier reports not read", "error", persimlog.ErrorText(err))
-		e.mu.Lock()
-		e.reports.loaded = false
-		e.mu.Unlock()
+		e.unloadReports()
 		return
 	}
-	stored := storedReports{Windows: map[int64]persimduty.Counts{}}
+	var record persimduty.ReportRecord
 	if err == nil {
-		if err := json.Unmarshal(object.Spec, &stored); err != nil {
+		if err := json.Unmarshal(object.Spec, &record); err != nil {
 			klog.ErrorS(nil, "usage: earlier reports are unreadable", "error", persimlog.ErrorText(err))
 			return
 		}
 	}
+	e.observeEra()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	firstOpen, tenure := e.firstOpenWindow(err == nil), e.lease.Tenure()
+	if e.reports.Observe(tenure, firstOpen, record, object.Revision) {
+		klog.InfoS("usage: earlier reports read", "revision", object.Revision.String(), "storedIn", record.Era, "tenure", tenure,
+			"completeFrom", record.CompleteFrom, "firstOpen", firstOpen, "stored", slices.Sorted(maps.Keys(record.Windows)),
+			"known", slices.Sorted(maps.Keys(e.reports.Known())))
+	}
+}
+
+// firstOpenWindow returns the first window that no holder of a former era can have reported, given
+// whether any reports are stored. Clocks of hosts that differ by less than countsSettleTime do no
+// harm, unless nothing is stored: then the copy is from the first seconds of the deployment. It
+// needs the lock of the entry.
+func (e *entry) firstOpenWindow(stored bool) int64 {
+	end := time.Now().Add(e.lease.FormerTenuresEnd().Sub(persimclock.Now()))
+	if !stored {
+		end = end.Add(-countsSettleTime)
+	}
+	return e.usage.Window(end)
+}
+
+// unloadReports lets the stored reports be read again.
+func (e *entry) unloadReports() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reports.Windows = stored.Windows
-	e.reports.revision = object.Revision
-	e.reports.loaded = true
+	e.reports.Unload()
 }
 
 const (
@@ -56,14 +68,12 @@
 	// to two hubs.
 	countsSettleTime    = 1500 * time.Millisecond
 	hubCountsSettleTime = 3 * time.Second
-	// retainedReports is the number of windows whose reports stay stored.
-	retainedReports = 8
 )
 
 // reportUsage reports each window that has ended and is not reported yet.
 func (e *entry) reportUsage(ctx context.Context) {
 	e.mu.Lock()
-	loaded := e.reports.loaded
+	loaded := e.reports.Loaded(e.lease.Tenure())
 	settle := countsSettleTime
 	if e.usesHubs() {
 		settle = hubCountsSettleTime
@@ -80,20 +90,23 @@
 	}
 }
 
-// reportWindow reports the counts of a window unless they were accepted already. Counts
-// that are stored are reported unchanged.
+// reportWindow does with a window what the reports decide. Counts are stored, and then known to
+// other hosts, before they are reported.
 func (e *entry) reportWindow(ctx context.Context, window int64) {
 	e.mu.Lock()
-	counts, stored := e.reports.Windows[window]
-	accepted := e.reports.accepted[window]
-	if !stored {
+	action, counts := e.reports.Decide(window)
+	if action == persimduty.ReportSum && counts == nil {
 		counts = e.usage.Sum(window)
 	}
 	e.mu.Unlock()
-	if accepted || len(counts) == 0 {
+	if action == persimduty.ReportNothing || len(counts) == 0 {
 		return
 	}
-	if !stored && !e.storeReport(ctx, window, counts) {
+	if action == persimduty.ReportSum {
+		e.storeReport(ctx, window, counts)
+		return
+	}
+	if e.awaitsReportCopies(window) {
 		return
 	}
 	fence, held := e.heldFence()
@@ -108,39 +121,31 @@
 		e.lease.Invalidate(fence)
 		return
 	}
-	if err != nil {
-		return
-	}
-	if e.reports.accepted == nil {
-		e.reports.accepted = map[int64]bool{}
+	if err == nil {
+		e.reports.Accept(window)
 	}
-	e.reports.accepted[window] = true
-	maps.DeleteFunc(e.reports.accepted, func(old int64, _ bool) bool { return old < window-2*retainedReports })
 }
 
 // storeReport stores the counts of a window before they are reported, so that the
 // next holder of the lease reports the same counts.
-func (e *entry) storeReport(ctx context.Context, window int64, counts persimduty.Counts) bool {
+func (e *entry) storeReport(ctx context.Context, window int64, counts persimduty.Counts) {
 	e.mu.Lock()
-	next := storedReports{Windows: maps.Clone(e.reports.Windows)}
-	revision := e.reports.revision
+	record, revision := e.reports.Propose(window, counts)
 	e.mu.Unlock()
-	next.Windows[window] = counts
-	maps.DeleteFunc(next.Windows, func(old int64, _ persimduty.Counts) bool { return old < window-retainedReports })
-	spec, err := json.Marshal(next)
+	spec, err := json.Marshal(record)
 	if err != nil {
 		klog.ErrorS(nil, "usage: not stored", "window", window, "error", persimlog.ErrorText(err))
-		return false
+		return
 	}
 	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: usageName, Revision: revision, Spec: spec})
 	if err != nil {
-		klog.InfoS("usage: not stored", "window", window, "error", persimlog.ErrorText(err))
+		klog.InfoS("usage: not stored", "window", window, "revision", revision.String(), "error", persimlog.ErrorText(err))
 		e.loadReports(ctx)
-		return false
+		return
 	}
+	klog.InfoS("usage stored", "window", window, "revision", object.Revision.String(), "completeFrom", record.CompleteFrom)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reports.Windows = next.Windows
-	e.reports.revision = object.Revision
-	return true
+	e.reports.ConfirmWrite(record, object.Revision)
+	e.reportsStoredAt = time.Now()
 }
