Soak: the store comes back from older copies of itself

Two hosts with one token and two reports of a window fail the run as before; a window that ended after the last drill has to be reported within the time for recovery. Other events of a seed stay as they were.

--- a/persimsoak/checker.go
+++ b/persimsoak/checker.go
@@ -23,6 +23,8 @@
 	Poison string
 	// Rollout describes what was checked of a rollout, if there was one.
 	Rollout string
+	// Drills describes what was checked after the last drill of the store, if there was one.
+	Drills string
 	// Tolerated lists the violations that do not fail the run.
 	Tolerated []string
 	// Violations lists each violated guarantee with the observation.
@@ -223,12 +225,12 @@
 	for {
 		windowStart := time.Now()
 		time.Sleep(recoveryWindow)
-		if c.servedShare(windowStart) >= minServedShare && c.allReady() {
+		if c.servedShare(windowStart) >= minServedShare && c.allReady() && c.system.dutiesRecovered() {
 			return
 		}
 		if time.Now().After(end) {
-			c.recordViolation("service recovers", "after %s the served share is %.2f, all hosts ready: %t",
-				recoveryTimeout, c.servedShare(windowStart), c.allReady())
+			c.recordViolation("service recovers", "after %s the served share is %.2f, all hosts ready: %t, usage reported since the last drill: %t",
+				recoveryTimeout, c.servedShare(windowStart), c.allReady(), c.system.dutiesRecovered())
 			return
 		}
 	}
@@ -264,7 +266,7 @@
 	c.checkUnsolicited()
 	c.checkSignals()
 	c.checkMemory()
-	report := Report{Requests: len(c.outcomes), Rollout: c.checkRollout(), Poison: c.checkPoison()}
+	report := Report{Requests: len(c.outcomes), Rollout: c.checkRollout(), Poison: c.checkPoison(), Drills: c.system.describeDrills()}
 	for _, violation := range c.system.store.Violations() {
 		c.recordViolation("each duty has one holder at a time", "%s", violation)
 	}
--- a/persimsoak/plan.go
+++ b/persimsoak/plan.go
@@ -26,6 +26,8 @@
 	KindStoreRefuse Kind = "store-refuse"
 	// The store is unreachable for all hosts.
 	KindStoreDown Kind = "store-down"
+	// The store comes back from a copy; Duration is the age of the copy.
+	KindStoreDrill Kind = "store-drill"
 	// Faults of an upstream or of the link to it.
 	KindUpstreamDelay  Kind = "upstream-delay"
 	KindUpstreamReset  Kind = "upstream-reset"
@@ -132,6 +134,12 @@
 	// the mean time between two draws.
 	misleadStream       = 1<<32 + 3
 	meanMisleadInterval = 4 * time.Second
+	// drillStream is the random stream for events of KindStoreDrill, meanDrillInterval the mean
+	// time between two draws.
+	drillStream       = 1<<32 + 4
+	meanDrillInterval = 5 * time.Second
+	// drillInterval draws such events for one seed in so many, which have none of KindPoison.
+	drillInterval = 2
 )
 
 // NewPlan derives a plan from a seed. If hosts is zero, the seed also determines the
@@ -153,6 +161,9 @@
 	if poisonInterval > 0 && seed%max(1, poisonInterval) == 0 {
 		p.AddPoison()
 	}
+	if seed%drillInterval == 1 {
+		p.AddDrills()
+	}
 	p.sortEvents()
 	return p
 }
@@ -172,6 +183,24 @@
 	p.sortEvents()
 }
 
+// AddDrills adds events of KindStoreDrill unless there are some.
+func (p *Plan) AddDrills() {
+	if p.drills() {
+		return
+	}
+	random := rand.New(rand.NewPCG(p.Seed, drillStream))
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanDrillInterval)) }
+	for at := firstEventAt + next()/2; at < p.Duration; at += next() {
+		age := minEventDuration + time.Duration(random.Int64N(int64(maxEventDuration-minEventDuration)))
+		p.addSeries(random, Event{Kind: KindStoreDrill, At: at, Duration: age})
+	}
+	p.sortEvents()
+}
+
+func (p *Plan) drills() bool {
+	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == KindStoreDrill })
+}
+
 // AddRollout adds the rollout of a good or a bad version unless there is one. Upstreams that mislead
 // hosts fail requests, which a good version does not, so no upstream does in such a plan.
 func (p *Plan) AddRollout(kind Kind) {
--- a/persimsoak/soak_test.go
+++ b/persimsoak/soak_test.go
@@ -21,6 +21,7 @@
 	firstSeed    = flag.Uint64("first", 0, "run the plan of `SEED`; with -fresh N, the N plans from this seed on")
 	hostCount    = flag.Int("hosts", 0, "run `N` hosts in each plan; 0 takes the number from the seed")
 	addPoison    = flag.Bool("poison", false, "add an event that makes a part of prompts deadly to each plan")
+	addDrills    = flag.Bool("drills", false, "let the store come back from older copies in each plan")
 	addRollout   = flag.String("rollout", "", "add the rollout of a `good` or a bad version to each plan")
 	planDuration = flag.Duration("length", defaultLength, "inject events for `TIME`")
 )
@@ -55,6 +56,9 @@
 	if report.Poison != "" {
 		t.Log("poison:", report.Poison)
 	}
+	if report.Drills != "" {
+		t.Log("drills:", report.Drills)
+	}
 	if report.Rollout != "" {
 		t.Log("rollout:", report.Rollout)
 	}
@@ -100,6 +104,9 @@
 			if *addPoison {
 				plan.AddPoison()
 			}
+			if *addDrills {
+				plan.AddDrills()
+			}
 			switch *addRollout {
 			case "good":
 				plan.AddRollout(KindRollout)
--- a/persimsoak/system.go
+++ b/persimsoak/system.go
@@ -42,6 +42,7 @@
 	hosts     []*host
 	upstreams *upstreams
 	checker   *checker
+	drills    drills
 	// onFinish ends what runs until the checks begin, if it is set.
 	onFinish func()
 }
@@ -163,6 +164,8 @@
 		s.injectStoreFault([]*host{h}, faults[event.Kind], event.Duration)
 	case KindStoreRefuse:
 		s.refuseStoreCalls(h, event.Duration)
+	case KindStoreDrill:
+		s.runDrill(event.Duration)
 	case KindStoreDown:
 		s.injectStoreFault(s.hosts, linkFaultReset, event.Duration)
 	case KindRevoke:
