--- a/persimentry/rollout_test.go
+++ b/persimentry/rollout_test.go
@@ -108,9 +108,10 @@
 
 // keepLoaded sends requests to a host until the load ends.
 func (r *rolloutTest) keepLoaded(h *testHost) {
+	// A large deployment gets no more requests in all than one of seven hosts.
+	interval := requestInterval * time.Duration(max(1, len(r.hosts)/smallDeployment))
 	r.load.Go(func() {
-		// A large deployment gets no more requests in all than one of seven hosts.
-		ticker := time.NewTicker(requestInterval * time.Duration(max(1, len(r.hosts)/smallDeployment)))
+		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for i := 0; ; i++ {
 			select {
