A stream test's first upstream is busy, not silent

Traced: with a first upstream that sleeps 0.5 s before its first event all 42 cases end that way, with the same log: "upstream is silent" after 0.36 s, then a whole 502 for the broken response of the second upstream to a request that was never resumed. That is right of the host; the test meant to break a resumed stream, and a processor that needs longer than 0.35 s for the body of 8 MB took its premise away.

Change: the test reports the load of the first upstream at a time after the attempt, so that it counts as busy. All its assertions stay.

--- a/persimfront/broken_test.go
+++ b/persimfront/broken_test.go
@@ -13,6 +13,7 @@
 
 	"persimmonport.example/persimbroken"
 	"persimmonport.example/persimcatalog"
+	"persimmonport.example/persimplace"
 )
 
 // uploads are the sizes of a request body that the upstream has as soon as it is sent, and of one
@@ -211,6 +212,10 @@
 			h.prefer(t, first.catalogueUpstream("s"), persimcatalog.Upstream{
 				Incarnation: persimcatalog.Incarnation{ID: "w2", Born: 1}, Address: second.Address(), Service: "s", Slots: 8,
 			})
+			// A report after the start of the attempt: the first upstream is busy with the body, and
+			// is not given up as silent.
+			busy := persimplace.TimedReport{Report: persimplace.Report{Slots: 8}, At: reportTime().Add(time.Minute)}
+			h.front.RecordReports(map[uint64]persimplace.TimedReport{hashOf("w1"): busy})
 			const size = 8 << 20
 			request := requestHead("POST", "/resumed/") + "Content-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
 			_, body, err := h.roundTrip(t, request)
