Test: a list of upstreams of a new era is taken in

The lists compare by era since revisions name it; this test fails if they compare by number alone, or take a late list of the former era.

--- a/persimentry/snapshots_test.go
+++ b/persimentry/snapshots_test.go
@@ -95,6 +95,31 @@
 	}
 }
 
+// TestListOfANewEraIsTakenIn guards against requests that are refused since the list is old: after
+// the store came back from an older copy its revisions are lower, and lists were left out. A late
+// list of the former era is not taken in.
+func TestListOfANewEraIsTakenIn(t *testing.T) {
+	const start = persimclock.Instant(time.Hour)
+	now := start
+	e := newClockedEntry(t, &now)
+	lists := []struct {
+		ids      []string
+		revision persimrevision.Revision
+		usable   []string
+	}{
+		{[]string{"u1", "u2"}, persimrevision.Revision{Era: 1, Number: 20}, []string{"u1", "u2"}},
+		{[]string{"u1"}, persimrevision.Revision{Era: 2, Number: 9}, []string{"u1"}},
+		{[]string{"u1", "u2"}, persimrevision.Revision{Era: 1, Number: 21}, []string{"u1"}},
+		{[]string{"u1", "u2"}, persimrevision.Revision{Era: 2, Number: 10}, []string{"u1", "u2"}},
+	}
+	for _, list := range lists {
+		now = now.Add(time.Second)
+		e.applyRoster(listOf(t, list.ids...), list.revision, readSpan(now), "store")
+		require.ElementsMatch(t, list.usable, e.usable(), "after the list of %s", list.revision)
+	}
+	require.Zero(t, e.rosterAge())
+}
+
 // TestPartitionedHostLeavesUpstreamsThatHaveGone guards against orders that a host sent to
 // upstreams that had left, when it had been cut off from the store and took that for an
 // outage in which their registrations had expired.
