--- a/persimduty/drill_test.go
+++ b/persimduty/drill_test.go
@@ -62,20 +62,20 @@
 	for name, record := range copies() {
 		t.Run(name, func(t *testing.T) {
 			l := heldLease(t)
-			met := leaseDuration / 2
-			l.ObserveEra(instant(met), 2)
-			requireHolds(t, l, met, ordinal(1, 10))
-			_, _, ok := l.Propose(instant(met))
+			seen := leaseDuration / 2
+			l.ObserveEra(instant(seen), 2)
+			requireHolds(t, l, seen, ordinal(1, 10))
+			_, _, ok := l.Propose(instant(seen))
 			require.False(t, ok, "the lease was not read in the new era")
 			require.True(t, l.Outdated())
-			l.Observe(instant(met), record, inEra(2, 9))
-			next, revision, ok := l.Propose(instant(met))
+			l.Observe(instant(seen), record, inEra(2, 9))
+			next, revision, ok := l.Propose(instant(seen))
 			require.True(t, ok)
 			require.Equal(t, inEra(2, 9), revision)
 			require.Equal(t, ordinal(2, 9), next.Fence)
 			require.EqualValues(t, 2, next.Era)
-			require.True(t, l.ConfirmWrite(instant(met), next, inEra(2, 10)))
-			requireHolds(t, l, met, ordinal(2, 9))
+			require.True(t, l.ConfirmWrite(instant(seen), next, inEra(2, 10)))
+			requireHolds(t, l, seen, ordinal(2, 9))
 			require.Equal(t, 1, l.Tenure())
 		})
 	}
@@ -112,7 +112,7 @@
 
 // Guards against a holder that was cut off, comes back after others could acquire the lease in
 // the former era, and goes on as if it had been the only one.
-func TestHolderThatMeetsTheEraLateIsNoHolder(t *testing.T) {
+func TestHolderThatSeesTheEraLateIsNoHolder(t *testing.T) {
 	for name, record := range copies() {
 		t.Run(name, func(t *testing.T) {
 			l := heldLease(t)
@@ -201,7 +201,7 @@
 
 // Guards against a second drill that comes before the holder has written the lease again.
 func TestHolderContinuesAfterTwoDrills(t *testing.T) {
-	for name, secondRead := range map[string]bool{"first era not met": false, "first era read": true} {
+	for name, secondRead := range map[string]bool{"first era not seen": false, "first era read": true} {
 		t.Run(name, func(t *testing.T) {
 			l := heldLease(t)
 			if secondRead {
--- a/persimduty/lease.go
+++ b/persimduty/lease.go
@@ -49,11 +49,11 @@
 // again, and only the host that held it when the era began acquires it at once. Others wait for
 // the lease duration, since a holder that does not reach the store cannot know of the new era.
 type Lease interface {
-	// ObserveEra records that a host met an era of the store at an instant. The era had begun by
-	// then.
-	ObserveEra(metAt persimclock.Instant, era persimrevision.Era)
+	// ObserveEra records that a host has seen an era of the store at an instant. The era had begun
+	// by then.
+	ObserveEra(seenAt persimclock.Instant, era persimrevision.Era)
 	// Era returns the newest era of the store and the earliest instant at which a host is known
-	// to have met it.
+	// to have seen it.
 	Era() (persimrevision.Era, persimclock.Instant)
 	// Observe records the stored lease and its revision. What was read in a former era is
 	// ignored.
@@ -100,9 +100,9 @@
 	duration    time.Duration
 
 	acquireDelay time.Duration
-	// era is the newest era of the store that this host knows. It had begun by eraMetAt.
-	era      persimrevision.Era
-	eraMetAt persimclock.Instant
+	// era is the newest era of the store that this host knows. It had begun by eraSeenAt.
+	era       persimrevision.Era
+	eraSeenAt persimclock.Instant
 	// record is the lease as last read or written at revision.
 	observed   bool
 	record     LeaseRecord
@@ -133,13 +133,13 @@
 
 func (l *lease) fraction(f float64) time.Duration { return time.Duration(float64(l.duration) * f) }
 
-func (l *lease) ObserveEra(metAt persimclock.Instant, era persimrevision.Era) {
-	if era > l.era || era == l.era && metAt < l.eraMetAt {
-		l.era, l.eraMetAt = era, metAt
+func (l *lease) ObserveEra(seenAt persimclock.Instant, era persimrevision.Era) {
+	if era > l.era || era == l.era && seenAt < l.eraSeenAt {
+		l.era, l.eraSeenAt = era, seenAt
 	}
 }
 
-func (l *lease) Era() (persimrevision.Era, persimclock.Instant) { return l.era, l.eraMetAt }
+func (l *lease) Era() (persimrevision.Era, persimclock.Instant) { return l.era, l.eraSeenAt }
 
 func (l *lease) Observe(now persimclock.Instant, record LeaseRecord, revision persimrevision.Revision) {
 	l.ObserveEra(now, revision.Era)
@@ -238,7 +238,7 @@
 // last renewal, and the era ended before that.
 func (l *lease) continuesTenure() bool {
 	return l.tenure.active && !l.recordIsCurrent() && l.revision.Era == l.era && l.tenure.era < l.era &&
-		l.eraMetAt.Sub(l.tenure.renewedAt) < l.fraction(continueFraction)
+		l.eraSeenAt.Sub(l.tenure.renewedAt) < l.fraction(continueFraction)
 }
 
 // canAcquire reports whether this host may acquire the lease now. A released lease
@@ -296,7 +296,7 @@
 func (l *lease) Tenure() int { return l.tenure.number }
 
 func (l *lease) FormerTenuresEnd() persimclock.Instant {
-	return l.eraMetAt.Add(l.fraction(holdFraction))
+	return l.eraSeenAt.Add(l.fraction(holdFraction))
 }
 
 func (l *lease) Invalidate(fence int64) {
--- a/persimduty/reports.go
+++ b/persimduty/reports.go
@@ -48,8 +48,8 @@
 	Loaded(tenure int) bool
 	// Unload requires that the record be read again.
 	Unload()
-	// Learn adds counts that another host knows to be reported.
-	Learn(windows map[int64]Counts)
+	// Merge adds the counts that another host knows to be reported or about to be.
+	Merge(windows map[int64]Counts)
 	// Known returns the counts that were or may have been reported, by window.
 	Known() map[int64]Counts
 	// Decide returns what to do with a window, and the counts for ReportAgain. With ReportSum
@@ -112,7 +112,7 @@
 
 func (r *reports) Unload() { r.loaded = false }
 
-func (r *reports) Learn(windows map[int64]Counts) { r.add(windows) }
+func (r *reports) Merge(windows map[int64]Counts) { r.add(windows) }
 
 // add adds counts of windows that are not known yet.
 func (r *reports) add(windows map[int64]Counts) {
--- a/persimduty/reports_test.go
+++ b/persimduty/reports_test.go
@@ -33,8 +33,8 @@
 
 func accept(window int64) reportStep { return func(_ *testing.T, r Reports) { r.Accept(window) } }
 
-func learn(window, count int64) reportStep {
-	return func(_ *testing.T, r Reports) { r.Learn(map[int64]Counts{window: {"o": count}}) }
+func merge(window, count int64) reportStep {
+	return func(_ *testing.T, r Reports) { r.Merge(map[int64]Counts{window: {"o": count}}) }
 }
 
 // Guards against two reports of a window with different counts after the store came back from a
@@ -73,8 +73,8 @@
 			[]reportStep{read(1, 9, ReportRecord{}, inEra(2, 0))},
 			map[int64]decision{8: nothing, 9: sum},
 		},
-		"first holder of an era that was told of a report": {
-			[]reportStep{learn(8, 80), read(1, 9, record(1, 2, 7), inEra(2, 9))},
+		"first holder of an era that knows a report from another host": {
+			[]reportStep{merge(8, 80), read(1, 9, record(1, 2, 7), inEra(2, 9))},
 			map[int64]decision{6: nothing, 7: again(7), 8: again(80), 9: sum},
 		},
 		"holder before and after a drill": {
--- a/persimduty/simulation_test.go
+++ b/persimduty/simulation_test.go
@@ -53,7 +53,7 @@
 	lease    Lease
 	reports  Reports
 	newest   persimrevision.Era
-	metAt    persimclock.Instant
+	seenAt   persimclock.Instant
 	upAt     time.Duration
 	cutUntil time.Duration
 }
@@ -104,7 +104,7 @@
 func (s *simulation) restart(h *simulatedHost) {
 	h.lease = NewLease(h.name, s.now.String(), leaseDuration)
 	h.reports = NewReports()
-	h.newest, h.metAt = 0, 0
+	h.newest, h.seenAt = 0, 0
 }
 
 func (s *simulation) run() {
@@ -180,10 +180,10 @@
 	return true
 }
 
-// meet records the era that a response of the store names.
-func (s *simulation) meet(h *simulatedHost) {
+// observeEra records the era that a response of the store names.
+func (s *simulation) observeEra(h *simulatedHost) {
 	if s.era > h.newest {
-		h.newest, h.metAt = s.era, instant(s.now)
+		h.newest, h.seenAt = s.era, instant(s.now)
 	}
 }
 
@@ -193,7 +193,7 @@
 	if s.now < h.cutUntil {
 		return
 	}
-	s.meet(h)
+	s.observeEra(h)
 	h.lease.Observe(instant(s.now), s.content.lease, s.at(s.content.leaseNumber))
 }
 
@@ -214,14 +214,14 @@
 		s.readLease(h)
 		return
 	}
-	s.meet(h)
+	s.observeEra(h)
 	if !written || !h.lease.ConfirmWrite(sent, record, s.at(s.content.leaseNumber)) {
 		s.readLease(h)
 	}
 }
 
 func (s *simulation) step(h *simulatedHost) {
-	h.lease.ObserveEra(h.metAt, h.newest)
+	h.lease.ObserveEra(h.seenAt, h.newest)
 	if s.chance(0.002) {
 		if record, revision, ok := h.lease.Release(); ok {
 			s.writeLease(h, record, revision)
@@ -237,7 +237,7 @@
 	if _, ok := h.lease.Held(instant(s.now)); ok {
 		s.report(h)
 	}
-	s.tell(h)
+	s.exchange(h)
 }
 
 func (s *simulation) window(at time.Duration) int64 { return int64(at / simulatedWindow) }
@@ -246,8 +246,8 @@
 	if s.now < h.cutUntil {
 		return
 	}
-	s.meet(h)
-	h.lease.ObserveEra(h.metAt, h.newest)
+	s.observeEra(h)
+	h.lease.ObserveEra(h.seenAt, h.newest)
 	firstOpen := s.window(time.Duration(h.lease.FormerTenuresEnd()))
 	h.reports.Observe(h.lease.Tenure(), firstOpen, s.content.reports, s.at(s.content.reportsNumber))
 }
@@ -292,7 +292,7 @@
 		s.readReports(h)
 		return ReportNothing, nil
 	}
-	s.meet(h)
+	s.observeEra(h)
 	h.reports.ConfirmWrite(record, s.at(s.content.reportsNumber))
 	return h.reports.Decide(window)
 }
@@ -323,14 +323,14 @@
 	}
 }
 
-// tell tells the other hosts the reports that this one knows, and the lease.
-func (s *simulation) tell(h *simulatedHost) {
+// exchange sends the other hosts the reports that this one knows, and the lease.
+func (s *simulation) exchange(h *simulatedHost) {
 	holder, fence, heartbeat := h.lease.Latest()
 	for _, other := range s.hosts {
 		if other == h || s.now < other.upAt || s.random.Float64() < 0.5 {
 			continue
 		}
-		other.reports.Learn(h.reports.Known())
+		other.reports.Merge(h.reports.Known())
 		other.lease.ObserveHeartbeat(instant(s.now), holder, fence, heartbeat)
 	}
 }
--- a/persimentry/exchange.go
+++ b/persimentry/exchange.go
@@ -162,7 +162,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	holder, fence, beat := e.lease.Latest()
-	era, eraMetAt := e.lease.Era()
+	era, eraSeenAt := e.lease.Era()
 	state := &persimwire.Exchange{
 		Host:          e.deployment.Host,
 		Incarnation:   e.incarnation,
@@ -180,7 +180,7 @@
 		Roster:        e.rosterSnapshot(now),
 		Rollouts:      rollouts,
 		Era:           int64(era),
-		EraAgeMs:      now.Sub(eraMetAt).Milliseconds(),
+		EraAgeMs:      now.Sub(eraSeenAt).Milliseconds(),
 	}
 	if known {
 		state.Catalogue.AgeMs = encodeProofAge(age)
--- a/persimentry/lease.go
+++ b/persimentry/lease.go
@@ -36,12 +36,12 @@
 	})
 }
 
-// observeEra tells the lease the newest era of the store.
+// observeEra passes the newest era of the store to the lease.
 func (e *entry) observeEra() {
 	era := e.objects.Era()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease.ObserveEra(era.MetAt, era.Era)
+	e.lease.ObserveEra(era.SeenAt, era.Era)
 }
 
 // leaseOutdated reports whether the store has come back from an older copy since the lease was
--- a/persimentry/receive.go
+++ b/persimentry/receive.go
@@ -36,9 +36,9 @@
 		p.knownReports = decodeKnownReports(received)
 		e.peers[received.GetHost()] = p
 	}
-	e.reports.Learn(decodeWindows(received.GetUsageReports()))
+	e.reports.Merge(decodeWindows(received.GetUsageReports()))
 	now := persimclock.Now()
-	// The time on the way makes the era younger than it is, never older.
+	// The transit time makes the era appear younger than it is, never older.
 	e.lease.ObserveEra(now.Add(-time.Duration(received.GetEraAgeMs())*time.Millisecond), persimrevision.Era(received.GetEra()))
 	e.lease.ObserveHeartbeat(now, received.GetHolder(), received.GetFence(), received.GetBeat())
 	e.noteHolder(received)
--- a/persimentry/usage.go
+++ b/persimentry/usage.go
@@ -44,9 +44,9 @@
 }
 
 // firstOpenWindow returns the first window that no holder of a former era can have reported, given
-// whether any reports are stored. Clocks of hosts that differ by less than countsSettleTime do no
-// harm, unless nothing is stored: then the copy is from the first seconds of the deployment. It
-// needs the lock of the entry.
+// whether any reports are stored. It allows for clocks that differ by up to countsSettleTime, but
+// not if nothing is stored: the copy is then from the first seconds of the deployment, whose
+// windows would otherwise be left out at each first start. It needs the lock of the entry.
 func (e *entry) firstOpenWindow(stored bool) int64 {
 	end := time.Now().Add(e.lease.FormerTenuresEnd().Sub(persimclock.Now()))
 	if !stored {
--- a/persimplatform/era.go
+++ b/persimplatform/era.go
@@ -15,8 +15,8 @@
 // Era is an era of the store as this host knows it.
 type Era struct {
 	persimrevision.Era
-	// MetAt is when the first response that named the era arrived. The era had begun by then.
-	MetAt persimclock.Instant
+	// SeenAt is when the first response that named the era arrived. The era had begun by then.
+	SeenAt persimclock.Instant
 }
 
 // eraRecord holds the newest era that responses of the store have named. It is safe for
@@ -49,7 +49,7 @@
 	}
 	if era > r.newest.Era {
 		klog.InfoS("store: new era", "era", era, "former", r.newest.Era)
-		r.newest = Era{Era: era, MetAt: persimclock.Now()}
+		r.newest = Era{Era: era, SeenAt: persimclock.Now()}
 	}
 	return era
 }
--- a/persimplatform/era_test.go
+++ b/persimplatform/era_test.go
@@ -61,7 +61,7 @@
 	return persimrevision.Revision{Era: era, Number: number}
 }
 
-// Guards against an era that is met late since refusals are not looked at.
+// Guards against an era that goes unnoticed while the store refuses calls.
 func TestEraIsReadFromEveryResponse(t *testing.T) {
 	calls := map[string]func(ctx context.Context, objects Objects){
 		"get":    func(ctx context.Context, o Objects) { _, _ = o.Get(ctx, "kind", "n") },
@@ -81,7 +81,7 @@
 			require.Zero(t, objects.Era().Era)
 			call(t.Context(), objects)
 			require.EqualValues(t, 3, objects.Era().Era, "%s, %d", name, status)
-			require.NotZero(t, objects.Era().MetAt)
+			require.NotZero(t, objects.Era().SeenAt)
 		}
 	}
 }
--- a/persimplatform/objects.go
+++ b/persimplatform/objects.go
@@ -70,9 +70,8 @@
 
 func (o objects) Era() Era { return o.eras.get() }
 
-// read sends a GET request and returns the body of the response and the era that it tells of.
-// That is the era which was known before the call if the response names none or an earlier
-// one.
+// read sends a GET request and returns the body of the response and the era that it belongs to.
+// That is the era known before the call if the response names none or an earlier one.
 func (o objects) read(ctx context.Context, timeout time.Duration, path string) ([]byte, persimrevision.Era, error) {
 	known := o.eras.get().Era
 	received, err := o.callWithin(ctx, timeout, http.MethodGet, path, nil, http.Header{})
