Counts of a window are summed anew after a write that was refused

Cause: since the counts proposed for a window stay as they are until their write is confirmed, as it may still be carried out. That also froze them where the store had refused the write, so that a first try in an outage fixed a sum from before the last counts of other hosts came.

Change: Reports.Withdraw; counts of which one write is uncertain stay.

--- a/persimduty/reports.go
+++ b/persimduty/reports.go
@@ -58,6 +58,9 @@
 	// Propose returns the record to write before the counts of a window are reported, and the
 	// revision that it replaces.
 	Propose(window int64, counts Counts) (ReportRecord, persimrevision.Revision)
+	// Withdraw records that the write of the counts that were last proposed for a window was not
+	// and will not be carried out, so that they may be summed anew.
+	Withdraw(window int64)
 	// ConfirmWrite records that a proposed record was written at a revision.
 	ConfirmWrite(record ReportRecord, revision persimrevision.Revision)
 	// Accept records that the report of a window was accepted.
@@ -74,14 +77,18 @@
 	completeFrom int64
 	known        map[int64]Counts
 	// proposed holds the counts whose write was not confirmed. The write may still be carried
-	// out, so the counts are not summed anew.
-	proposed map[int64]Counts
-	accepted map[int64]bool
+	// out, so the counts are not summed anew. They are uncertain if they were proposed before
+	// and not withdrawn.
+	proposed  map[int64]Counts
+	uncertain map[int64]bool
+	accepted  map[int64]bool
 }
 
 // NewReports returns the reports of a host that knows of none.
 func NewReports() Reports {
-	return &reports{known: map[int64]Counts{}, proposed: map[int64]Counts{}, accepted: map[int64]bool{}}
+	return &reports{
+		known: map[int64]Counts{}, proposed: map[int64]Counts{}, uncertain: map[int64]bool{}, accepted: map[int64]bool{},
+	}
 }
 
 func (r *reports) Observe(tenure int, firstOpen int64, record ReportRecord, revision persimrevision.Revision) bool {
@@ -152,14 +159,24 @@
 }
 
 func (r *reports) Propose(window int64, counts Counts) (ReportRecord, persimrevision.Revision) {
+	if _, ok := r.proposed[window]; ok {
+		r.uncertain[window] = true
+	}
 	r.proposed[window] = counts
 	pruneBefore(r.proposed, window-retainedReports)
+	pruneBefore(r.uncertain, window-retainedReports)
 	windows := maps.Clone(r.known)
 	windows[window] = counts
 	completeFrom := retain(windows, r.completeFrom)
 	return ReportRecord{Windows: windows, Era: r.revision.Era, CompleteFrom: completeFrom}, r.revision
 }
 
+func (r *reports) Withdraw(window int64) {
+	if !r.uncertain[window] {
+		delete(r.proposed, window)
+	}
+}
+
 func (r *reports) ConfirmWrite(record ReportRecord, revision persimrevision.Revision) {
 	if record.Era != revision.Era || r.isBefore(revision) {
 		r.loaded = false
--- a/persimduty/reports_test.go
+++ b/persimduty/reports_test.go
@@ -31,6 +31,10 @@
 	}
 }
 
+func withdraw(window int64) reportStep {
+	return func(_ *testing.T, r Reports) { r.Withdraw(window) }
+}
+
 func accept(window int64) reportStep { return func(_ *testing.T, r Reports) { r.Accept(window) } }
 
 func merge(window, count int64) reportStep {
@@ -97,6 +101,14 @@
 			[]reportStep{read(1, 0, record(1, 2), inEra(1, 9)), store(8, 80, inEra(0, 0)), read(1, 0, record(1, 2), inEra(1, 9))},
 			map[int64]decision{8: {ReportSum, 80}},
 		},
+		"write is refused": {
+			[]reportStep{read(1, 0, record(1, 2), inEra(1, 9)), store(8, 80, inEra(0, 0)), withdraw(8)},
+			map[int64]decision{8: sum},
+		},
+		"response to a write is lost, the next write is refused": {
+			[]reportStep{read(1, 0, record(1, 2), inEra(1, 9)), store(8, 80, inEra(0, 0)), store(8, 81, inEra(0, 0)), withdraw(8)},
+			map[int64]decision{8: {ReportSum, 80}},
+		},
 		"write was carried out, response lost": {
 			[]reportStep{read(1, 0, record(1, 2), inEra(1, 9)), store(8, 80, inEra(0, 0)), read(1, 0, record(1, 2, 8), inEra(1, 10))},
 			map[int64]decision{8: again(8)},
--- a/persimduty/simulation_test.go
+++ b/persimduty/simulation_test.go
@@ -278,6 +278,7 @@
 	}
 	record, condition := h.reports.Propose(window, counts)
 	if s.now < h.cutUntil || condition.Era < h.newest {
+		h.reports.Withdraw(window)
 		s.readReports(h)
 		return ReportNothing, nil
 	}
@@ -288,6 +289,9 @@
 			s.content.reports, s.content.reportsNumber = record, s.content.number
 		}
 	})
+	if answered && !written {
+		h.reports.Withdraw(window)
+	}
 	if !answered || !written {
 		s.readReports(h)
 		return ReportNothing, nil
--- a/persimentry/usage.go
+++ b/persimentry/usage.go
@@ -70,6 +70,13 @@
 	hubCountsSettleTime = 3 * time.Second
 )
 
+// withdrawReport lets the counts of a window that were not stored be summed anew.
+func (e *entry) withdrawReport(window int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports.Withdraw(window)
+}
+
 // reportUsage reports each window that has ended and is not reported yet.
 func (e *entry) reportUsage(ctx context.Context) {
 	e.mu.Lock()
@@ -140,6 +147,9 @@
 	object, err := e.objects.Write(ctx, dutyKind, platform.Object{Name: usageName, Revision: revision, Spec: spec})
 	if err != nil {
 		klog.InfoS("usage: not stored", "window", window, "revision", revision.String(), "error", persimlog.ErrorText(err))
+		if !errors.Is(err, persimplatform.ErrUncertain) {
+			e.withdrawReport(window)
+		}
 		e.loadReports(ctx)
 		return
 	}
