A deployment that first starts acquires its lease at once

Cause: since a lease that was created in an era waited for the lease duration as any record that proves nothing about a former era.

Change: the record that is created where none is stored names the era, and is free at once, unless the host has seen a former era or was told of a holder of one. design/store-eras.md says what that leaves.

--- a/persimduty/drill_test.go
+++ b/persimduty/drill_test.go
@@ -103,6 +103,31 @@
 	return l
 }
 
+// Guards against duties that nobody performs for the lease duration when a deployment first starts,
+// and against a lease that is free at once where the copy is from before it was created.
+func TestInitialLease(t *testing.T) {
+	for name, test := range map[string]struct {
+		before func(Lease)
+		waits  bool
+	}{
+		"first start":               {func(Lease) {}, false},
+		"first start, era seen":     {func(l Lease) { l.ObserveEra(instant(0), 2) }, false},
+		"former era seen":           {func(l Lease) { l.ObserveEra(instant(-1), 1); l.ObserveEra(instant(0), 2) }, true},
+		"former era named by hosts": {func(l Lease) { l.ObserveEra(instant(0), 2); l.ObserveHeartbeat(instant(0), "b", ordinal(1, 4), 7) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLease("a", "1", leaseDuration)
+			test.before(l)
+			l.Observe(instant(0), l.Initial(2), inEra(2, 9))
+			if !test.waits {
+				requireProposesAtOnce(t, l, 0, ordinal(2, 9))
+				return
+			}
+			requireProposesFrom(t, l, leaseDuration+1, ordinal(2, 9))
+		})
+	}
+}
+
 // Guards against a wait where none is needed: the lease was released in this era.
 func TestReleaseInTheSameEraFreesTheLease(t *testing.T) {
 	l := NewLease("c", "1", leaseDuration)
--- a/persimduty/lease.go
+++ b/persimduty/lease.go
@@ -67,6 +67,10 @@
 	SinceLastChange(now persimclock.Instant) time.Duration
 	// Outdated reports whether the lease was last read in a former era.
 	Outdated() bool
+	// Initial returns the record of a lease without a holder, to be created where none is stored
+	// in an era. It names the era, so that the lease is free at once, unless a host knows of a
+	// former era: then the copy may be from before the lease was created.
+	Initial(era persimrevision.Era) LeaseRecord
 	// Propose returns the record to write and the revision it replaces, if the lease
 	// can be acquired or is due for renewal.
 	Propose(now persimclock.Instant) (LeaseRecord, persimrevision.Revision, bool)
@@ -103,6 +107,8 @@
 	// era is the newest era of the store that this host knows. It had begun by eraSeenAt.
 	era       persimrevision.Era
 	eraSeenAt persimclock.Instant
+	// formerEraSeen is set once this host knows of an era before the newest one.
+	formerEraSeen bool
 	// record is the lease as last read or written at revision.
 	observed   bool
 	record     LeaseRecord
@@ -135,6 +141,7 @@
 
 func (l *lease) ObserveEra(seenAt persimclock.Instant, era persimrevision.Era) {
 	if era > l.era || era == l.era && seenAt < l.eraSeenAt {
+		l.formerEraSeen = l.formerEraSeen || l.era > 0 && l.era < era
 		l.era, l.eraSeenAt = era, seenAt
 	}
 }
@@ -163,9 +170,12 @@
 }
 
 func (l *lease) ObserveHeartbeat(now persimclock.Instant, holder string, fence, heartbeat int64) {
+	if fenceEra := persimrevision.FromOrdinal(fence).Era; fenceEra < l.era {
+		l.formerEraSeen = l.formerEraSeen || fenceEra > 0
+		return
+	}
 	newer := fence > l.reportedFence || fence == l.reportedFence && heartbeat > l.reportedHeartbeat
-	formerEra := persimrevision.FromOrdinal(fence).Era < l.era
-	if !l.observed || !newer || formerEra || fence < l.record.Fence || fence == l.record.Fence && heartbeat <= l.record.Heartbeat {
+	if !l.observed || !newer || fence < l.record.Fence || fence == l.record.Fence && heartbeat <= l.record.Heartbeat {
 		return
 	}
 	l.reportedHolder = holder
@@ -190,6 +200,13 @@
 
 func (l *lease) Outdated() bool { return l.observed && l.revision.Era < l.era }
 
+func (l *lease) Initial(era persimrevision.Era) LeaseRecord {
+	if l.formerEraSeen {
+		return LeaseRecord{}
+	}
+	return LeaseRecord{Era: era}
+}
+
 // recordIsCurrent reports whether the record was written in the era in which it was read.
 func (l *lease) recordIsCurrent() bool { return l.record.Era == l.revision.Era }
 
--- a/persimentry/lease.go
+++ b/persimentry/lease.go
@@ -113,9 +113,12 @@
 }
 
 // createLease stores a lease without a holder, so that it can be acquired by a
-// conditional update. It names no era, since a former era may have had a holder.
+// conditional update.
 func (e *entry) createLease(ctx context.Context, missingAt persimrevision.Revision) error {
-	spec, err := json.Marshal(persimduty.LeaseRecord{})
+	e.mu.Lock()
+	record := e.lease.Initial(missingAt.Era)
+	e.mu.Unlock()
+	spec, err := json.Marshal(record)
 	if err != nil {
 		return trace.Wrap(err)
 	}
